--- /dev/null
+++ b/announce.go
@@ -0,0 +1,46 @@
+package samphirepass
+
+// LeafState is what a leaf says of itself.
+type LeafState string
+
+// The states of a leaf.
+const (
+	LeafStarting LeafState = "starting"
+	LeafServing  LeafState = "serving"
+	LeafDraining LeafState = "draining"
+)
+
+// Holding is one shard of one snapshot that a leaf holds.
+type Holding struct {
+	Snapshot Snapshot `json:"snapshot" validate:"required"`
+	// Shards is the number of shards of the whole snapshot.
+	Shards int   `json:"shards" validate:"required,min=1,max=100000"`
+	Shard  Shard `json:"shard"`
+}
+
+// Announcement is what a leaf tells of itself; the pair of incarnation and sequence orders two of one leaf.
+type Announcement struct {
+	Leaf        Leaf        `json:"leaf" validate:"required,min=1,max=128"`
+	Service     Service     `json:"service" validate:"required,min=1,max=64"`
+	Address     string      `json:"address" validate:"required,ip_port"`
+	DataCentre  DataCentre  `json:"data-centre" validate:"required,min=1,max=64"`
+	Incarnation Incarnation `json:"incarnation" validate:"required"`
+	Sequence    uint64      `json:"sequence" validate:"required"`
+	State       LeafState   `json:"state" validate:"required,oneof=starting serving draining"`
+	Holdings    []Holding   `json:"holdings" validate:"max=64,dive"`
+	// Slots is the number of requests that the leaf works on at once.
+	Slots int `json:"slots" validate:"required,min=1,max=10000"`
+	// Connections is the number of connections that the leaf accepts in all.
+	Connections int `json:"connections" validate:"required,min=1,max=100000"`
+}
+
+// Newer reports whether a replaces b.
+func (a Announcement) Newer(b Announcement) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	if (a.State == LeafDraining) != (b.State == LeafDraining) {
+		return a.State == LeafDraining
+	}
+	return a.Sequence > b.Sequence
+}
--- /dev/null
+++ b/attempt.go
@@ -0,0 +1,68 @@
+package samphirepass
+
+import "context"
+
+// Attempt is one request to one leaf.
+type Attempt struct {
+	Request  RequestID
+	Service  Service
+	Snapshot Snapshot
+	Shard    Shard
+	// Key is set for a request that may not be repeated.
+	Key RunKey
+	// DeadlineMs is the time that the leaf has, without the network's share.
+	DeadlineMs Millis
+	Body       []byte
+}
+
+// Reply is a leaf's answer to one attempt, checked against it.
+type Reply struct {
+	Body []byte
+	// Partial is set where the leaf itself did not search all of its shard.
+	Partial bool
+	// Load is the fraction of its slots that the leaf had taken or queued for.
+	Load float64
+	// WorkedMs is the time that the request spent in the leaf.
+	WorkedMs Millis
+}
+
+// FailureKind names a way in which an attempt fails.
+type FailureKind string
+
+// The ways in which an attempt fails.
+const (
+	// FailureShed is a refusal by the leaf, which did no work.
+	FailureShed FailureKind = "shed"
+	// FailureNotHeld is a refusal by a leaf that does not hold the shard of that snapshot.
+	FailureNotHeld FailureKind = "not-held"
+	// FailureMismatch is an answer to something else.
+	FailureMismatch FailureKind = "mismatch"
+	// FailureNotSent tells that no byte of the request left.
+	FailureNotSent FailureKind = "not-sent"
+	// FailureLost tells that the connection broke or the time passed before a whole answer came.
+	FailureLost FailureKind = "lost"
+)
+
+// AttemptError tells how an attempt failed.
+type AttemptError struct {
+	Kind FailureKind
+	Err  error
+}
+
+// Error returns the kind and the cause.
+func (e *AttemptError) Error() string {
+	return "attempt " + string(e.Kind) + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *AttemptError) Unwrap() error { return e.Err }
+
+// NotRun reports whether the leaf certainly did nothing.
+func (e *AttemptError) NotRun() bool {
+	return e.Kind == FailureShed || e.Kind == FailureNotHeld || e.Kind == FailureNotSent
+}
+
+// Sender sends attempts to leaves and is safe for concurrent use; its errors are of type *AttemptError.
+type Sender interface {
+	Send(ctx context.Context, to Announcement, a Attempt) (Reply, error)
+}
--- /dev/null
+++ b/blackboard/doc.go
@@ -0,0 +1,2 @@
+// Package blackboard holds typed cells that controllers read, write and watch.
+package blackboard
--- /dev/null
+++ b/cmd/samphirepass/operator.go
@@ -0,0 +1,285 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/tailscale/hujson"
+
+	"samphirepass"
+	"samphirepass/operator"
+)
+
+// commandTimeout bounds every operator command but watch.
+const commandTimeout = 15 * time.Second
+
+type operatorCommand struct {
+	Get     getCommand     `command:"get" description:"Print one resource."`
+	List    listCommand    `command:"list" description:"Print all resources of a kind."`
+	Apply   applyCommand   `command:"apply" description:"Put the resource in a file."`
+	Watch   watchCommand   `command:"watch" description:"Print changes as they come."`
+	Delete  deleteCommand  `command:"delete" description:"Remove a resource."`
+	Status  statusCommand  `command:"status" description:"Print what a VM sees of the system."`
+	Members membersCommand `command:"members" description:"Add or remove a control VM."`
+	Release releaseCommand `command:"release-seat" description:"Free the seat of an entry VM that is gone for good."`
+}
+
+// target is the VM that a command talks to.
+type target struct {
+	VM string `long:"vm" required:"true" description:"The API address of any entry VM, an IP number with a port."`
+}
+
+func (t target) client() operator.Client {
+	return operator.Client{Address: t.VM}
+}
+
+func limited() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), commandTimeout)
+}
+
+func printJSON(v any, err error) error {
+	if err != nil {
+		return err
+	}
+	out, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode output: %w", err)
+	}
+	fmt.Println(string(out))
+	return nil
+}
+
+func parseKind(s string) (samphirepass.Kind, error) {
+	for _, k := range samphirepass.Kinds() {
+		if string(k) == s {
+			return k, nil
+		}
+	}
+	return "", eris.Errorf("KIND: no kind %q (allowed: %v)", s, samphirepass.Kinds())
+}
+
+type kindAndName struct {
+	Kind string `positional-arg-name:"KIND" required:"true"`
+	Name string `positional-arg-name:"NAME" required:"true"`
+}
+
+type getCommand struct {
+	target
+	Args kindAndName `positional-args:"true"`
+}
+
+// Execute prints one resource.
+func (c *getCommand) Execute([]string) error {
+	kind, err := parseKind(c.Args.Kind)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := limited()
+	defer cancel()
+	return printJSON(c.client().Get(ctx, kind, c.Args.Name))
+}
+
+type listCommand struct {
+	target
+	Args struct {
+		Kind string `positional-arg-name:"KIND" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute prints all resources of a kind.
+func (c *listCommand) Execute([]string) error {
+	kind, err := parseKind(c.Args.Kind)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := limited()
+	defer cancel()
+	return printJSON(c.client().List(ctx, kind))
+}
+
+// resourceFile is the content of a file for apply.
+type resourceFile struct {
+	Kind string          `json:"kind"`
+	Name string          `json:"name"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+type applyCommand struct {
+	target
+	Base     *uint64 `long:"base-revision" description:"The revision that the change was made from; left out, whatever stands now."`
+	ChangeID string  `long:"change-id" description:"The id of the change, the same on every resend; left out, a new one."`
+	Args     struct {
+		File string `positional-arg-name:"FILE" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute puts the resource in a file of JSON with comments.
+func (c *applyCommand) Execute([]string) error {
+	file, kind, err := readResource(c.Args.File)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := limited()
+	defer cancel()
+	body := operator.PutBody{ChangeID: changeID(c.ChangeID), Spec: file.Spec}
+	if c.Base != nil {
+		body.BaseRevision = samphirepass.Revision(*c.Base)
+	} else if body.BaseRevision, err = c.present(ctx, kind, file.Name); err != nil {
+		return err
+	}
+	answer, err := c.client().Put(ctx, kind, file.Name, body)
+	if err != nil {
+		return fmt.Errorf("change %s: %w", body.ChangeID, err)
+	}
+	return printJSON(answer, nil)
+}
+
+// present returns the revision of a resource, 0 if there is none.
+func (t target) present(ctx context.Context, kind samphirepass.Kind, name string) (samphirepass.Revision, error) {
+	have, err := t.client().Get(ctx, kind, name)
+	if r := samphirepass.AsRefusal(err); r != nil && r.Code == samphirepass.CodeNotFound {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("read present revision: %w", err)
+	}
+	return have.Revision, nil
+}
+
+func changeID(given string) samphirepass.ChangeID {
+	if given == "" {
+		given = uuid.NewString()
+	}
+	return samphirepass.ChangeID(given)
+}
+
+func readResource(path string) (resourceFile, samphirepass.Kind, error) {
+	var f resourceFile
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return f, "", fmt.Errorf("read resource: %w", err)
+	}
+	if data, err = hujson.Standardize(data); err != nil {
+		return f, "", fmt.Errorf("resource %s: %w", path, err)
+	}
+	if err := json.Unmarshal(data, &f); err != nil {
+		return f, "", fmt.Errorf("resource %s: %w", path, err)
+	}
+	kind, err := parseKind(f.Kind)
+	if err != nil {
+		return f, "", fmt.Errorf("resource %s: %w", path, err)
+	}
+	return f, kind, nil
+}
+
+type watchCommand struct {
+	target
+	From uint64 `long:"from" description:"The revision to watch from; left out, the present one."`
+	Args struct {
+		Kind string `positional-arg-name:"KIND" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute prints each change as one line of JSON until interrupted.
+func (c *watchCommand) Execute([]string) error {
+	kind, err := parseKind(c.Args.Kind)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := untilSignal()
+	defer cancel()
+	from := samphirepass.Revision(c.From)
+	if from == 0 {
+		list, err := c.client().List(ctx, kind)
+		if err != nil {
+			return err
+		}
+		from = list.Revision
+	}
+	err = c.client().Watch(ctx, kind, from, func(line operator.WatchLine) bool {
+		if line.Event != nil {
+			b, _ := json.Marshal(line.Event)
+			fmt.Println(string(b))
+		}
+		return true
+	})
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+type deleteCommand struct {
+	target
+	Base     *uint64     `long:"base-revision" description:"The revision that the change was made from; left out, whatever stands now."`
+	ChangeID string      `long:"change-id" description:"The id of the change, the same on every resend; left out, a new one."`
+	Args     kindAndName `positional-args:"true"`
+}
+
+// Execute removes one resource.
+func (c *deleteCommand) Execute([]string) error {
+	kind, err := parseKind(c.Args.Kind)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := limited()
+	defer cancel()
+	var base samphirepass.Revision
+	if c.Base != nil {
+		base = samphirepass.Revision(*c.Base)
+	} else if base, err = c.present(ctx, kind, c.Args.Name); err != nil {
+		return err
+	}
+	return printJSON(c.client().Delete(ctx, kind, c.Args.Name, changeID(c.ChangeID), base))
+}
+
+type statusCommand struct {
+	target
+}
+
+// Execute prints what the VM sees.
+func (c *statusCommand) Execute([]string) error {
+	ctx, cancel := limited()
+	defer cancel()
+	return printJSON(c.client().Status(ctx))
+}
+
+type membersCommand struct {
+	target
+	Add     string `long:"add" description:"The VM to add."`
+	Address string `long:"address" description:"The peer address of the VM to add."`
+	Remove  string `long:"remove" description:"The VM to remove."`
+}
+
+// Execute adds or removes a control VM.
+func (c *membersCommand) Execute([]string) error {
+	ctx, cancel := limited()
+	defer cancel()
+	switch {
+	case c.Add != "" && c.Remove == "":
+		return c.client().AddMember(ctx, operator.MemberBody{VM: samphirepass.VM(c.Add), Address: c.Address})
+	case c.Remove != "" && c.Add == "":
+		return c.client().RemoveMember(ctx, samphirepass.VM(c.Remove))
+	default:
+		return eris.New("members: one of --add and --remove is needed")
+	}
+}
+
+type releaseCommand struct {
+	target
+	Args struct {
+		VM string `positional-arg-name:"VM" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute frees a seat.
+func (c *releaseCommand) Execute([]string) error {
+	ctx, cancel := limited()
+	defer cancel()
+	return c.client().ReleaseSeat(ctx, samphirepass.VM(c.Args.VM))
+}
--- /dev/null
+++ b/control/client.go
@@ -0,0 +1,151 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"samphirepass"
+	"samphirepass/ledger"
+	"samphirepass/peer"
+	"samphirepass/quorum"
+)
+
+// retryPauseMs is the pause after all members were asked in vain.
+const retryPauseMs samphirepass.Millis = 50
+
+// Client sends requests to whichever member leads; it is safe for concurrent use.
+type Client struct {
+	members []quorum.Member
+	peers   *peer.Pool
+
+	mu   sync.Mutex
+	next int
+}
+
+// NewClient returns a client of the given members.
+func NewClient(members []quorum.Member, peers *peer.Pool) *Client {
+	return &Client{members: members, peers: peers}
+}
+
+func (c *Client) target() quorum.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.members[c.next%len(c.members)]
+}
+
+// turn moves on from one target to the hinted leader, or to the next member.
+func (c *Client) turn(from quorum.Member, leader samphirepass.VM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.members[c.next%len(c.members)].VM != from.VM {
+		return
+	}
+	for i, m := range c.members {
+		if leader != "" && m.VM == leader && m.VM != from.VM {
+			c.next = i
+			return
+		}
+	}
+	c.next = (c.next + 1) % len(c.members)
+}
+
+// call repeats an idempotent request until a leader answers it or ctx ends.
+// If any try may have been carried out without an answer, the last error says so.
+func (c *Client) call(ctx context.Context, kind string, req, reply any) error {
+	maybeDone := false
+	for {
+		to := c.target()
+		err := c.peers.Get(to.Address).Call(ctx, kind, req, reply)
+		if err == nil {
+			return nil
+		}
+		r := samphirepass.AsRefusal(err)
+		elsewhere := r == nil || r.Code == samphirepass.CodeNotLeader || r.Code == samphirepass.CodeStopping || r.Code == samphirepass.CodeUnknown
+		if !elsewhere {
+			return fmt.Errorf("ask control: %w", err)
+		}
+		maybeDone = maybeDone || r == nil || !r.NotRun
+		hint := samphirepass.VM("")
+		if r != nil {
+			hint = r.Leader
+		}
+		c.turn(to, hint)
+		select {
+		case <-time.After(retryPauseMs.Duration()):
+		case <-ctx.Done():
+			return c.gaveUp(kind, maybeDone, err)
+		}
+	}
+}
+
+func (c *Client) gaveUp(kind string, maybeDone bool, err error) error {
+	if maybeDone {
+		return samphirepass.RefuseUnknown("control did not answer %s in time: %v", kind, err)
+	}
+	return samphirepass.Refuse(samphirepass.CodeUnavailable, "control has no leader to take %s: %v", kind, err)
+}
+
+// Propose commits one command; commands are made so that a repeated one has no further effect.
+func (c *Client) Propose(ctx context.Context, cmd ledger.Command) (ledger.Result, error) {
+	var result ledger.Result
+	err := c.call(ctx, kindPropose, proposeRequest{Command: cmd}, &result)
+	return result, err
+}
+
+// Read returns resources at a confirmed revision; an empty name asks for all of the kind.
+func (c *Client) Read(ctx context.Context, kind samphirepass.Kind, name string) (ReadReply, error) {
+	var reply ReadReply
+	err := c.call(ctx, kindRead, readRequest{Kind: kind, Name: name}, &reply)
+	return reply, err
+}
+
+// Run returns the record of a key at a confirmed revision.
+func (c *Client) Run(ctx context.Context, key samphirepass.RunKey) (RunReply, error) {
+	var reply RunReply
+	err := c.call(ctx, kindRun, runRequest{Key: key}, &reply)
+	return reply, err
+}
+
+// Sync returns the configuration after req.Have, confirmed by a majority.
+func (c *Client) Sync(ctx context.Context, req SyncRequest) (SyncReply, error) {
+	var reply SyncReply
+	err := c.call(ctx, kindSync, req, &reply)
+	return reply, err
+}
+
+// AddMember names a further control VM, which gets its vote once it has caught up.
+func (c *Client) AddMember(ctx context.Context, vm samphirepass.VM, address string) (Status, error) {
+	var reply Status
+	err := c.call(ctx, kindMembers, membersRequest{Add: quorum.Member{VM: vm, Address: address}}, &reply)
+	return reply, err
+}
+
+// RemoveMember takes a control VM out of the membership.
+func (c *Client) RemoveMember(ctx context.Context, vm samphirepass.VM) (Status, error) {
+	var reply Status
+	err := c.call(ctx, kindMembers, membersRequest{Remove: vm}, &reply)
+	return reply, err
+}
+
+// Statuses asks every member for its own view; members that do not answer are left out.
+func (c *Client) Statuses(ctx context.Context) []Status {
+	out := make([]Status, len(c.members))
+	var wg sync.WaitGroup
+	for i, m := range c.members {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_ = c.peers.Get(m.Address).Call(ctx, kindStatus, statusRequest{}, &out[i])
+		}()
+	}
+	wg.Wait()
+	var answered []Status
+	for _, s := range out {
+		if s.VM != "" {
+			answered = append(answered, s)
+		}
+	}
+	return answered
+}
--- /dev/null
+++ b/control/greet.go
@@ -0,0 +1,181 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"samphirepass"
+	"samphirepass/quorum"
+)
+
+const (
+	greetPauseMs   samphirepass.Millis = 200
+	greetTimeoutMs samphirepass.Millis = 800
+	// greetingFreshMs is how long a hello counts as a sign of life of a joining disk.
+	greetingFreshMs samphirepass.Millis = 3000
+)
+
+// greet introduces the disk to the other members until it is safe to take part; it reports whether to bootstrap.
+func (n *Node) greet(ctx context.Context, core *quorum.Core) (bool, error) {
+	for {
+		replies := n.helloAll(ctx, core.Members())
+		old := ahead(replies, core)
+		if old && led(replies) {
+			return false, errOldDisk
+		}
+		if !old && core.Initialised() && len(replies)+1 >= core.Members().Majority() {
+			return false, nil
+		}
+		if !core.Initialised() {
+			start, bootstrap := n.emptyStart(replies)
+			if start {
+				return bootstrap, nil
+			}
+		}
+		select {
+		case <-time.After(greetPauseMs.Duration()):
+		case <-ctx.Done():
+			return false, fmt.Errorf("greet: %w", ctx.Err())
+		}
+	}
+}
+
+// emptyStart decides whether an empty disk may start, and whether it founds a new log.
+func (n *Node) emptyStart(replies []helloReply) (start, bootstrap bool) {
+	for _, r := range replies {
+		if r.Initialised {
+			return true, false
+		}
+	}
+	// A new log is founded only if every member is there and empty: an absent one may hold the old log.
+	if len(replies)+1 < len(n.o.Members) {
+		return false, false
+	}
+	for _, m := range n.o.Members {
+		if m.VM < n.o.VM {
+			return true, false
+		}
+	}
+	return true, true
+}
+
+// ahead reports whether any member saw this disk in a later state than it is in.
+func ahead(replies []helloReply, core *quorum.Core) bool {
+	for _, r := range replies {
+		laterLog := r.Seen.LogTerm > core.LastTerm() || (r.Seen.LogTerm == core.LastTerm() && r.Seen.Index > core.Last())
+		if laterLog || r.Seen.Term > core.Term() {
+			return true
+		}
+	}
+	return false
+}
+
+// led reports whether a majority works without this disk, so that nothing committed depends on it.
+func led(replies []helloReply) bool {
+	for _, r := range replies {
+		if r.Leads {
+			return true
+		}
+	}
+	return false
+}
+
+// others returns the other members that this node knows of.
+func (n *Node) others(members quorum.Members) []quorum.Member {
+	if len(members) == 0 {
+		members = n.o.Members
+	}
+	var out []quorum.Member
+	for _, m := range members {
+		if m.VM != n.o.VM {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (n *Node) configured(vm samphirepass.VM) quorum.Member {
+	m, _ := quorum.Members(n.o.Members).Find(vm)
+	return m
+}
+
+func (n *Node) helloAll(ctx context.Context, members quorum.Members) []helloReply {
+	ctx, cancel := context.WithTimeout(ctx, greetTimeoutMs.Duration())
+	defer cancel()
+	n.mu.Lock()
+	req := helloRequest{VM: n.o.VM, Address: n.o.Address, Disk: n.identity.Disk}
+	n.mu.Unlock()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var out []helloReply
+	for _, m := range n.others(members) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var reply helloReply
+			if err := n.o.Peers.Get(m.Address).Call(ctx, kindHello, req, &reply); err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, reply)
+		}()
+	}
+	wg.Wait()
+	return out
+}
+
+// introduce repeats the hello while this disk has no vote, so that whoever leads learns of it.
+func (n *Node) introduce(ctx context.Context) {
+	for {
+		s, err := n.Status(ctx)
+		if err != nil {
+			return
+		}
+		if m, _ := s.Members.Find(n.o.VM); !m.Voter || m.Disk != s.Disk {
+			n.helloAll(ctx, s.Members)
+		}
+		select {
+		case <-time.After(2 * greetPauseMs.Duration()):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// hello answers what this member saw of the disk that asks.
+func (n *Node) hello(ctx context.Context, req helloRequest) (helloReply, error) {
+	n.mu.Lock()
+	reply := helloReply{VM: n.o.VM, Seen: n.seen[req.Disk], Initialised: n.loadedLog}
+	n.greeted[req.VM] = greeting{helloRequest: req, at: n.o.Clock.Now()}
+	n.mu.Unlock()
+	status, err := n.Status(ctx)
+	if err != nil {
+		return reply, err
+	}
+	reply.Initialised = reply.Initialised || len(status.Members) > 0
+	if status.Role == quorum.RoleLeader {
+		ctx, cancel := context.WithTimeout(ctx, (greetTimeoutMs / 2).Duration())
+		defer cancel()
+		reply.Leads = n.Confirm(ctx) == nil
+	}
+	return reply, nil
+}
+
+// observe remembers the state of the disk that sent m.
+func (n *Node) observe(m quorum.Message) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.seen[m.FromDisk]
+	if m.Kind != quorum.MessagePreVote && m.Kind != quorum.MessagePreVoteReply {
+		s.Term = max(s.Term, m.Term)
+	}
+	accepted := m.Kind == quorum.MessageAppendReply && !m.Reject
+	later := m.LogTerm > s.LogTerm || (m.LogTerm == s.LogTerm && m.Index > s.Index)
+	if accepted && later {
+		s.LogTerm, s.Index = m.LogTerm, m.Index
+	}
+	n.seen[m.FromDisk] = s
+}
--- /dev/null
+++ b/control/lead.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"samphirepass"
+	"samphirepass/cbor"
+	"samphirepass/ledger"
+	"samphirepass/quorum"
+)
+
+// leadTicks is the number of ticks between two looks at the membership.
+const leadTicks = 2
+
+// maxLag is the number of entries that a learner may lack when it gets its vote.
+const maxLag = 8
+
+// lead does the leader's standing duties: it takes in joining disks, gives votes and ends the forming of a new log.
+func (l *loop) lead() {
+	if l.ticks%leadTicks != 0 {
+		return
+	}
+	members := l.core.Members()
+	for _, m := range members {
+		next, ok := l.nextMember(m)
+		if !ok {
+			continue
+		}
+		if err := l.core.ProposeMembers(members.With(next)); err == nil {
+			l.node.o.Log("Member %s with disk %s: voter %v.", next.VM, next.Disk, next.Voter)
+		}
+		return
+	}
+	l.form(members)
+}
+
+// nextMember returns the next step of one member's joining, if there is one.
+func (l *loop) nextMember(m quorum.Member) (quorum.Member, bool) {
+	if m.VM == l.node.o.VM {
+		return m, false
+	}
+	g, fresh := l.node.greetingOf(m.VM)
+	if fresh && g.Disk != m.Disk {
+		if m.Voter && l.core.Active(m.VM) {
+			return m, false
+		}
+		return quorum.Member{VM: m.VM, Address: g.Address, Disk: g.Disk}, true
+	}
+	caughtUp := m.Disk != "" && l.core.Match(m.VM)+maxLag >= l.core.Last() && l.core.Match(m.VM) >= l.core.Commit()
+	if m.Voter || !caughtUp || !l.core.Active(m.VM) {
+		return m, false
+	}
+	m.Voter = true
+	return m, true
+}
+
+func (n *Node) greetingOf(vm samphirepass.VM) (greeting, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	g, ok := n.greeted[vm]
+	return g, ok && n.o.Clock.Now()-g.at < greetingFreshMs
+}
+
+func (l *loop) form(members quorum.Members) {
+	if l.node.ledger.Formed() || members.Voters() < len(members) {
+		return
+	}
+	data, err := cbor.Marshal(ledger.Command{NowMs: l.node.o.Clock.Wall(), Form: &ledger.Form{Seats: l.node.o.Seats}})
+	if err != nil {
+		return
+	}
+	if _, _, err := l.core.Propose(data); err == nil {
+		l.node.o.Log("All members vote; the log is formed.")
+	}
+}
--- /dev/null
+++ b/control/loop.go
@@ -0,0 +1,250 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"samphirepass"
+	"samphirepass/cbor"
+	"samphirepass/disk"
+	"samphirepass/ledger"
+	"samphirepass/quorum"
+)
+
+type proposalResult struct {
+	index  samphirepass.Revision
+	result ledger.Result
+	err    error
+}
+
+type proposal struct {
+	term samphirepass.Term
+	done chan proposalResult
+}
+
+// loop owns the core and the disk of one node.
+type loop struct {
+	node     *Node
+	core     *quorum.Core
+	store    *disk.Store
+	applied  samphirepass.Revision
+	snapshot quorum.Snapshot
+
+	proposals map[samphirepass.Revision]proposal
+	// waiting are reads not yet handed to the core, reads those that it works on.
+	waiting []chan error
+	reads   map[uint64][]chan error
+	readID  uint64
+	// confirmed are reads that wait for their index to be applied.
+	confirmed []confirmedRead
+	ticks     int
+}
+
+type confirmedRead struct {
+	index samphirepass.Revision
+	done  []chan error
+}
+
+func (l *loop) run(ctx context.Context) error {
+	if err := l.node.ledger.Restore(l.snapshot.Data); err != nil {
+		return fmt.Errorf("read snapshot: %w", err)
+	}
+	t := time.NewTicker(TickMs.Duration())
+	defer t.Stop()
+	for {
+		select {
+		case f := <-l.node.events:
+			f(l)
+		case <-t.C:
+			l.tick()
+		case <-ctx.Done():
+			return fmt.Errorf("control loop: %w", ctx.Err())
+		}
+		l.drain()
+		l.startReads()
+		if err := l.work(); err != nil {
+			return fmt.Errorf("control loop: %w", err)
+		}
+	}
+}
+
+// drain takes in what else has arrived, so that one sync serves all of it.
+func (l *loop) drain() {
+	for range maxEvents {
+		select {
+		case f := <-l.node.events:
+			f(l)
+		default:
+			return
+		}
+	}
+}
+
+func (l *loop) tick() {
+	l.core.Tick()
+	l.ticks++
+	if l.core.Role() == quorum.RoleLeader {
+		l.lead()
+	}
+}
+
+func (l *loop) propose(data []byte, p proposal) {
+	index, term, err := l.core.Propose(data)
+	if err != nil {
+		p.done <- proposalResult{err: l.notLeader()}
+		return
+	}
+	p.term = term
+	l.proposals[index] = p
+}
+
+func (l *loop) notLeader() error {
+	r := samphirepass.Refuse(samphirepass.CodeNotLeader, "member %s does not lead", l.node.o.VM)
+	r.Leader = l.core.Leader()
+	return r
+}
+
+// startReads confirms all waiting reads in one round.
+func (l *loop) startReads() {
+	if len(l.waiting) == 0 {
+		return
+	}
+	l.readID++
+	if err := l.core.Read(l.readID); err != nil {
+		finish(l.waiting, l.notLeader())
+	} else {
+		l.reads[l.readID] = l.waiting
+	}
+	l.waiting = nil
+}
+
+func finish(waiting []chan error, err error) {
+	for _, done := range waiting {
+		done <- err
+	}
+}
+
+// work carries out what the core asks for until it asks for nothing.
+func (l *loop) work() error {
+	for {
+		r := l.core.Ready()
+		if r.Empty() {
+			return nil
+		}
+		if err := l.save(r); err != nil {
+			return err
+		}
+		l.send(r.Messages)
+		if err := l.apply(r.Committed); err != nil {
+			return err
+		}
+		l.finishReads(r)
+		l.core.Advance(r)
+		if err := l.compact(); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *loop) save(r quorum.Ready) error {
+	if err := l.store.Save(r.Hard, nil); err != nil {
+		return fmt.Errorf("save term and vote: %w", err)
+	}
+	if r.Snapshot != nil {
+		if err := l.store.SaveSnapshot(*r.Snapshot, nil); err != nil {
+			return fmt.Errorf("save received snapshot: %w", err)
+		}
+		if err := l.node.ledger.Restore(r.Snapshot.Data); err != nil {
+			return fmt.Errorf("load received snapshot: %w", err)
+		}
+		l.applied = r.Snapshot.Index
+		l.node.notifyChanged()
+	}
+	if err := l.store.Save(nil, r.Entries); err != nil {
+		return fmt.Errorf("save entries: %w", err)
+	}
+	return nil
+}
+
+func (l *loop) send(messages []quorum.Message) {
+	members := l.core.Members()
+	for _, m := range messages {
+		to, ok := members.Find(m.To)
+		if !ok {
+			to = l.node.configured(m.To)
+		}
+		if to.Address != "" {
+			l.node.o.Peers.Get(to.Address).Notify(kindRaft, m)
+		}
+	}
+}
+
+func (l *loop) apply(entries []quorum.Entry) error {
+	for _, e := range entries {
+		var result ledger.Result
+		if e.Kind == quorum.EntryData {
+			var cmd ledger.Command
+			if err := cbor.Unmarshal(e.Data, &cmd); err != nil {
+				return fmt.Errorf("apply entry %d: %w", e.Index, err)
+			}
+			result = l.node.ledger.Apply(e.Index, cmd)
+		}
+		l.applied = e.Index
+		l.settle(e, result)
+	}
+	if len(entries) > 0 {
+		l.node.notifyChanged()
+	}
+	return nil
+}
+
+// settle answers the proposal that waits at the entry's index.
+func (l *loop) settle(e quorum.Entry, result ledger.Result) {
+	p, ok := l.proposals[e.Index]
+	if !ok {
+		return
+	}
+	delete(l.proposals, e.Index)
+	if p.term != e.Term {
+		p.done <- proposalResult{err: l.notLeader()}
+		return
+	}
+	p.done <- proposalResult{index: e.Index, result: result}
+}
+
+func (l *loop) finishReads(r quorum.Ready) {
+	for _, id := range r.LostReads {
+		finish(l.reads[id], l.notLeader())
+		delete(l.reads, id)
+	}
+	for _, s := range r.Reads {
+		l.confirmed = append(l.confirmed, confirmedRead{index: s.Index, done: l.reads[s.ID]})
+		delete(l.reads, s.ID)
+	}
+	rest := l.confirmed[:0]
+	for _, c := range l.confirmed {
+		if c.index > l.applied {
+			rest = append(rest, c)
+			continue
+		}
+		finish(c.done, nil)
+	}
+	l.confirmed = rest
+}
+
+// compact takes a snapshot once the log has grown long.
+func (l *loop) compact() error {
+	if l.core.LogLength() < l.node.o.SnapshotEntries || l.applied <= l.snapshot.Index {
+		return nil
+	}
+	data, err := l.node.ledger.Snapshot()
+	if err != nil {
+		return fmt.Errorf("take snapshot: %w", err)
+	}
+	l.snapshot = l.core.Compact(l.applied, data)
+	if err := l.store.SaveSnapshot(l.snapshot, l.core.StableTail()); err != nil {
+		return fmt.Errorf("save snapshot: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/control/node.go
@@ -0,0 +1,277 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"samphirepass"
+	"samphirepass/cbor"
+	"samphirepass/disk"
+	"samphirepass/ledger"
+	"samphirepass/peer"
+	"samphirepass/quorum"
+)
+
+const (
+	// TickMs is the length of one tick of the quorum core.
+	TickMs samphirepass.Millis = 50
+	// maxEvents is the number of events taken in before the disk is synced again.
+	maxEvents = 512
+	// DefaultSnapshotEntries is the length of the log at which a snapshot is taken.
+	DefaultSnapshotEntries = 1000
+	// inboxLength is the number of messages that may wait for the loop.
+	inboxLength = 4096
+)
+
+// errOldDisk tells that the other members saw this disk in a later state than it is in.
+var errOldDisk = eris.New("control: the disk is older than what the others saw of it")
+
+// Options set up a Node.
+type Options struct {
+	VM      samphirepass.VM
+	Address string
+	// Members are the first members of a new log, this one included.
+	Members []quorum.Member
+	// Seats is the number of entry VMs that a new log provides for.
+	Seats int
+	Files samphirepass.Files
+	Clock samphirepass.Clock
+	Peers *peer.Pool
+	// SnapshotEntries is the length of the log at which a snapshot is taken; 0 means DefaultSnapshotEntries.
+	SnapshotEntries int
+	// Log takes one line for each notable event; nil drops them.
+	Log func(format string, args ...any)
+}
+
+// Node is one control member; Serve runs it, and its handlers are safe for concurrent use.
+type Node struct {
+	o      Options
+	ledger *ledger.State
+	events chan func(*loop)
+	halted chan struct{}
+	ready  chan struct{}
+
+	mu       sync.Mutex
+	identity disk.Identity
+	started  bool
+	// loadedLog is set where the disk held a log at the start.
+	loadedLog bool
+	seen      map[samphirepass.DiskID]seen
+	greeted   map[samphirepass.VM]greeting
+	holders   map[samphirepass.VM]samphirepass.Revision
+	changed   chan struct{}
+
+	seatMu sync.Mutex
+}
+
+// greeting is the last hello of one VM.
+type greeting struct {
+	helloRequest
+	at samphirepass.Millis
+}
+
+// NewNode returns a node that has not started.
+func NewNode(o Options) *Node {
+	if o.SnapshotEntries == 0 {
+		o.SnapshotEntries = DefaultSnapshotEntries
+	}
+	if o.Log == nil {
+		o.Log = func(string, ...any) {}
+	}
+	return &Node{
+		o: o, ledger: ledger.New(), events: make(chan func(*loop), inboxLength), halted: make(chan struct{}),
+		ready: make(chan struct{}), seen: map[samphirepass.DiskID]seen{}, greeted: map[samphirepass.VM]greeting{},
+		holders: map[samphirepass.VM]samphirepass.Revision{}, changed: make(chan struct{}),
+	}
+}
+
+// Serve runs the node until ctx ends or the disk fails; after a disk fault the process must stop.
+func (n *Node) Serve(ctx context.Context) error {
+	defer close(n.halted)
+	store, loaded, err := disk.Open(n.o.Files, newDiskID())
+	if err != nil {
+		return fmt.Errorf("open data folder: %w", err)
+	}
+	defer store.Close()
+	n.setIdentity(loaded.Identity, len(loaded.Entries) > 0 || loaded.Snapshot.Index > 0)
+	l := n.newLoop(store, loaded)
+	bootstrap, err := n.greet(ctx, l.core)
+	if eris.Is(err, errOldDisk) {
+		l, err = n.replaceDisk(store)
+	}
+	if err != nil {
+		return fmt.Errorf("greet members: %w", err)
+	}
+	if bootstrap {
+		l.core.Bootstrap(n.firstMembers())
+	}
+	n.mu.Lock()
+	n.started = true
+	n.mu.Unlock()
+	close(n.ready)
+	go n.introduce(ctx)
+	return l.run(ctx)
+}
+
+func newDiskID() samphirepass.DiskID {
+	return samphirepass.DiskID(uuid.NewString())
+}
+
+// replaceDisk gives an old disk a new identity, so that it joins as an empty one.
+func (n *Node) replaceDisk(store *disk.Store) (*loop, error) {
+	id, err := store.Reformat(newDiskID())
+	if err != nil {
+		return nil, fmt.Errorf("replace old disk: %w", err)
+	}
+	n.o.Log("Disk is older than the members saw it; rejoining as disk %s.", id.Disk)
+	n.setIdentity(id, false)
+	return n.newLoop(store, disk.Loaded{Identity: id}), nil
+}
+
+func (n *Node) setIdentity(id disk.Identity, loadedLog bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.identity = id
+	n.loadedLog = loadedLog
+}
+
+func (n *Node) newLoop(store *disk.Store, loaded disk.Loaded) *loop {
+	core := quorum.New(quorum.Options{
+		VM: n.o.VM, Disk: loaded.Disk, Rand: rand.New(rand.NewSource(time.Now().UnixNano())),
+		Hard: loaded.Hard, Snapshot: loaded.Snapshot, Entries: loaded.Entries,
+	})
+	return &loop{
+		node: n, core: core, store: store, applied: loaded.Snapshot.Index, snapshot: loaded.Snapshot,
+		proposals: map[samphirepass.Revision]proposal{}, reads: map[uint64][]chan error{},
+	}
+}
+
+// firstMembers is the membership of a new log: this VM votes, the others are awaited.
+func (n *Node) firstMembers() quorum.Members {
+	var out quorum.Members
+	for _, m := range n.o.Members {
+		if m.VM == n.o.VM {
+			m.Disk, m.Voter = n.identity.Disk, true
+		}
+		out = out.With(m)
+	}
+	return out
+}
+
+// do runs f on the loop; it fails once the node has stopped.
+func (n *Node) do(ctx context.Context, f func(*loop)) error {
+	select {
+	case n.events <- f:
+		return nil
+	case <-n.halted:
+		return samphirepass.Refuse(samphirepass.CodeStopping, "control member has stopped")
+	case <-ctx.Done():
+		return fmt.Errorf("wait for control loop: %w", ctx.Err())
+	}
+}
+
+// Propose commits one command and returns its result; a refusal with NotRun promises that it will not commit.
+func (n *Node) Propose(ctx context.Context, cmd ledger.Command) (samphirepass.Revision, ledger.Result, error) {
+	if err := n.awaitStart(ctx); err != nil {
+		return 0, ledger.Result{}, err
+	}
+	cmd.NowMs = n.o.Clock.Wall()
+	data, err := cbor.Marshal(cmd)
+	if err != nil {
+		return 0, ledger.Result{}, fmt.Errorf("encode command: %w", err)
+	}
+	p := proposal{done: make(chan proposalResult, 1)}
+	if err := n.do(ctx, func(l *loop) { l.propose(data, p) }); err != nil {
+		return 0, ledger.Result{}, err
+	}
+	select {
+	case r := <-p.done:
+		return r.index, r.result, r.err
+	case <-n.halted:
+		return 0, ledger.Result{}, samphirepass.RefuseUnknown("control member stopped before the command committed")
+	case <-ctx.Done():
+		return 0, ledger.Result{}, samphirepass.RefuseUnknown("no majority synced the command in time")
+	}
+}
+
+// Confirm returns once the ledger holds everything that was committed when it was called.
+func (n *Node) Confirm(ctx context.Context) error {
+	if err := n.awaitStart(ctx); err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	if err := n.do(ctx, func(l *loop) { l.waiting = append(l.waiting, done) }); err != nil {
+		return err
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-n.halted:
+		return samphirepass.Refuse(samphirepass.CodeStopping, "control member has stopped")
+	case <-ctx.Done():
+		return samphirepass.Refuse(samphirepass.CodeUnavailable, "no majority confirmed the read in time")
+	}
+}
+
+func (n *Node) awaitStart(ctx context.Context) error {
+	select {
+	case <-n.ready:
+		return nil
+	case <-n.halted:
+		return samphirepass.Refuse(samphirepass.CodeStopping, "control member has stopped")
+	case <-ctx.Done():
+		return samphirepass.Refuse(samphirepass.CodeNotLeader, "control member has not met a majority yet")
+	}
+}
+
+// Status describes the member.
+func (n *Node) Status(ctx context.Context) (Status, error) {
+	n.mu.Lock()
+	s := Status{VM: n.o.VM, Disk: n.identity.Disk, Formed: n.ledger.Formed(), Seats: n.ledger.View().Seats}
+	started := n.started
+	n.mu.Unlock()
+	if !started {
+		return s, nil
+	}
+	done := make(chan struct{})
+	err := n.do(ctx, func(l *loop) {
+		defer close(done)
+		c := l.core
+		s.Role, s.Term, s.Leader = c.Role(), c.Term(), c.Leader()
+		s.Commit, s.Last, s.Members = c.Commit(), c.Last(), c.Members()
+	})
+	if err != nil {
+		return s, err
+	}
+	select {
+	case <-done:
+	case <-n.halted:
+	}
+	return s, nil
+}
+
+// HandOver passes the leadership on, if this member has it, and returns once it has gone or ctx ends.
+func (n *Node) HandOver(ctx context.Context) {
+	t := time.NewTicker(TickMs.Duration())
+	defer t.Stop()
+	for {
+		s, err := n.Status(ctx)
+		if err != nil || s.Role != quorum.RoleLeader || s.Members.Voters() < 2 {
+			return
+		}
+		if err := n.do(ctx, func(l *loop) { l.core.Transfer("") }); err != nil {
+			return
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/control/serve.go
@@ -0,0 +1,249 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"samphirepass"
+	"samphirepass/ledger"
+	"samphirepass/peer"
+	"samphirepass/quorum"
+)
+
+const (
+	// SyncWaitMs is how long a sync waits for news before it is answered with a bare confirmation.
+	SyncWaitMs samphirepass.Millis = 400
+	// holdTimeoutMs bounds the wait until a majority of the entries hold a change.
+	holdTimeoutMs samphirepass.Millis = 10_000
+)
+
+// Register adds the member's requests to h.
+func (n *Node) Register(h *peer.Handlers) {
+	peer.HandleNotify(h, kindRaft, n.receive)
+	peer.HandleCall(h, kindHello, n.hello)
+	peer.HandleCall(h, kindSync, n.sync)
+	peer.HandleCall(h, kindPropose, n.propose)
+	peer.HandleCall(h, kindRead, n.read)
+	peer.HandleCall(h, kindRun, n.run)
+	peer.HandleCall(h, kindMembers, n.changeMembers)
+	peer.HandleCall(h, kindStatus, func(ctx context.Context, _ statusRequest) (Status, error) { return n.Status(ctx) })
+}
+
+// receive hands a message to the core; one that finds the inbox full is lost, as on a network.
+func (n *Node) receive(m quorum.Message) {
+	n.observe(m)
+	n.mu.Lock()
+	started := n.started
+	n.mu.Unlock()
+	if !started {
+		return
+	}
+	select {
+	case n.events <- func(l *loop) { l.core.Step(m) }:
+	default:
+	}
+}
+
+func (n *Node) propose(ctx context.Context, req proposeRequest) (ledger.Result, error) {
+	index, result, err := n.Propose(ctx, req.Command)
+	if err != nil {
+		return result, err
+	}
+	if result.Change != nil && result.Change.Accepted {
+		index = result.Change.Revision
+		if err := n.awaitHeld(ctx, index); err != nil {
+			return result, err
+		}
+	}
+	return result, nil
+}
+
+// notifyChanged wakes everything that waits for the ledger or the holders.
+func (n *Node) notifyChanged() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// awaitHeld returns once a majority of the seated entries has revision in force.
+// An entry cut off from control relies on that majority to learn of it (docs/design/configuration.md).
+func (n *Node) awaitHeld(ctx context.Context, revision samphirepass.Revision) error {
+	ctx, cancel := context.WithTimeout(ctx, holdTimeoutMs.Duration())
+	defer cancel()
+	for {
+		n.mu.Lock()
+		changed := n.changed
+		held := n.heldLocked(revision)
+		n.mu.Unlock()
+		if held {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-n.halted:
+			return samphirepass.RefuseUnknown("control member stopped before the change was in force")
+		case <-ctx.Done():
+			return samphirepass.RefuseUnknown("the change is committed, but most entries have not confirmed it yet")
+		}
+	}
+}
+
+func (n *Node) heldLocked(revision samphirepass.Revision) bool {
+	seats := n.ledger.View().Seats
+	have := 0
+	for _, s := range seats {
+		if n.holders[s.VM] >= revision {
+			have++
+		}
+	}
+	return len(seats) == 0 || have > len(seats)/2
+}
+
+func (n *Node) sync(ctx context.Context, req SyncRequest) (SyncReply, error) {
+	if err := n.Confirm(ctx); err != nil {
+		return SyncReply{}, err
+	}
+	n.mu.Lock()
+	n.holders[req.VM] = max(n.holders[req.VM], req.Have)
+	n.mu.Unlock()
+	n.notifyChanged()
+	if err := n.ensureSeat(ctx, req); err != nil {
+		return SyncReply{}, err
+	}
+	if err := n.awaitNews(ctx, req.Have); err != nil {
+		return SyncReply{}, err
+	}
+	return n.syncReply(req.Have), nil
+}
+
+// awaitNews waits for a newer configuration and confirms what it found.
+func (n *Node) awaitNews(ctx context.Context, have samphirepass.Revision) error {
+	timeout := time.NewTimer(SyncWaitMs.Duration())
+	defer timeout.Stop()
+	for n.ledger.Revision() <= have {
+		n.mu.Lock()
+		changed := n.changed
+		n.mu.Unlock()
+		if n.ledger.Revision() > have {
+			break
+		}
+		select {
+		case <-changed:
+			continue
+		case <-timeout.C:
+		case <-n.halted:
+		case <-ctx.Done():
+		}
+		break
+	}
+	return n.Confirm(ctx)
+}
+
+func (n *Node) syncReply(have samphirepass.Revision) SyncReply {
+	view := n.ledger.View()
+	reply := SyncReply{Revision: view.Revision}
+	events, ok := n.ledger.EventsSince(have)
+	if have == 0 || !ok {
+		reply.Full = true
+		reply.View = view
+		return reply
+	}
+	for _, e := range events {
+		if e.Revision <= view.Revision {
+			reply.Events = append(reply.Events, e)
+		}
+	}
+	view.Resources = nil
+	reply.View = view
+	return reply
+}
+
+// ensureSeat seats the entry, one seat change at a time: the next is proposed once a majority holds the last.
+func (n *Node) ensureSeat(ctx context.Context, req SyncRequest) error {
+	n.seatMu.Lock()
+	defer n.seatMu.Unlock()
+	view := n.ledger.View()
+	for _, s := range view.Seats {
+		if s.VM == req.VM && s.Address == req.Address && s.DataCentre == req.DataCentre {
+			return nil
+		}
+	}
+	n.mu.Lock()
+	held := n.heldLocked(view.SeatsRevision)
+	n.mu.Unlock()
+	if !held || !n.ledger.Formed() {
+		return nil
+	}
+	change := ledger.SeatChange{VM: req.VM, Address: req.Address, DataCentre: req.DataCentre}
+	_, result, err := n.Propose(ctx, ledger.Command{Seat: &change})
+	if err != nil {
+		return err
+	}
+	if result.Refused != "" {
+		return samphirepass.Refuse(result.Refused, "all %d seats are taken; release one of a VM that is gone", view.SeatCount)
+	}
+	return nil
+}
+
+func (n *Node) read(ctx context.Context, req readRequest) (ReadReply, error) {
+	if err := n.Confirm(ctx); err != nil {
+		return ReadReply{}, err
+	}
+	view := n.ledger.View()
+	reply := ReadReply{Revision: view.Revision}
+	for _, r := range view.Resources {
+		if r.Kind == req.Kind && (req.Name == "" || r.Name == req.Name) {
+			reply.Resources = append(reply.Resources, r)
+		}
+	}
+	return reply, nil
+}
+
+func (n *Node) run(ctx context.Context, req runRequest) (RunReply, error) {
+	if err := n.Confirm(ctx); err != nil {
+		return RunReply{}, err
+	}
+	r, ok := n.ledger.Run(req.Key, n.o.Clock.Wall())
+	return RunReply{Found: ok, Record: r}, nil
+}
+
+// changeMembers adds an awaited member or removes one; votes follow by themselves.
+func (n *Node) changeMembers(ctx context.Context, req membersRequest) (Status, error) {
+	done := make(chan error, 1)
+	err := n.do(ctx, func(l *loop) { done <- l.changeMembers(req) })
+	if err != nil {
+		return Status{}, err
+	}
+	select {
+	case err = <-done:
+	case <-n.halted:
+		err = samphirepass.RefuseUnknown("control member stopped")
+	}
+	if err != nil {
+		return Status{}, err
+	}
+	return n.Status(ctx)
+}
+
+func (l *loop) changeMembers(req membersRequest) error {
+	if l.core.Role() != quorum.RoleLeader {
+		return l.notLeader()
+	}
+	members := l.core.Members()
+	next := members.Without(req.Remove)
+	if req.Remove == l.node.o.VM {
+		l.core.Transfer("")
+		return samphirepass.Refuse(samphirepass.CodeConflict, "member %s leads; it hands over now, try again", req.Remove)
+	}
+	if req.Add.VM != "" {
+		if _, ok := members.Find(req.Add.VM); ok {
+			return samphirepass.Refuse(samphirepass.CodeConflict, "member %s is there already", req.Add.VM)
+		}
+		next = members.With(quorum.Member{VM: req.Add.VM, Address: req.Add.Address})
+	}
+	if err := l.core.ProposeMembers(next); err != nil {
+		return samphirepass.Refuse(samphirepass.CodeConflict, "%v", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,192 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"samphirepass"
+	"samphirepass/blackboard"
+	"samphirepass/caller"
+	"samphirepass/control"
+	"samphirepass/entry"
+	"samphirepass/leaf"
+	"samphirepass/lease"
+	"samphirepass/ledger"
+	"samphirepass/logs"
+	"samphirepass/operator"
+	"samphirepass/peer"
+	"samphirepass/platform"
+	"samphirepass/policy"
+	"samphirepass/settings"
+)
+
+const (
+	// stopTimeoutMs bounds the wait for requests that still run at a stop.
+	stopTimeoutMs samphirepass.Millis = 65_000
+	// leaveTimeoutMs bounds the giving up of the seat.
+	leaveTimeoutMs samphirepass.Millis = 2000
+)
+
+// Entry is one entry process.
+type Entry struct {
+	cfg      settings.File
+	log      logs.Logger
+	board    *blackboard.Board
+	registry *leaf.Registry
+	book     *leaf.Book
+	client   *control.Client
+	syncer   *entry.Syncer
+	relay    *entry.Relay
+	warmer   *leaf.Warmer
+	calls    *caller.API
+	metrics  *platform.Metrics
+	peers    *peer.Pool
+	peerWS   *peer.Server
+	api      *platform.Server
+	peerHTTP *platform.Server
+}
+
+// NewEntry opens the listeners of an entry; Run makes it work.
+func NewEntry(cfg settings.File, log logs.Logger) (*Entry, error) {
+	clock := samphirepass.SystemClock{}
+	e := &Entry{
+		cfg: cfg, log: log, board: &blackboard.Board{}, registry: leaf.NewRegistry(clock),
+		metrics: platform.NewMetrics(), peers: &peer.Pool{},
+	}
+	e.client = control.NewClient(cfg.Members(), e.peers)
+	o := entry.Options{
+		VM: cfg.VM, Address: cfg.Peer, DataCentre: cfg.DataCentre, Board: e.board, Lease: &lease.Lease{},
+		Control: e.client, Peers: e.peers, Clock: clock, Log: log.For("entry").Infof,
+	}
+	e.syncer = entry.NewSyncer(o)
+	e.relay = entry.NewRelay(o, e.registry)
+	e.book = leaf.NewBook(clock, e.share)
+	e.warmer = leaf.NewWarmer(e.registry, e.book, clock)
+	set := policySet(cfg.Policy, clock)
+	planner := leaf.NewPlanner(e.registry, clock)
+	gatherer := leaf.NewGatherer(planner, e.book, leaf.NewSender(e.book, clock), cfg.DataCentre, set, clock)
+	e.calls = caller.New(caller.Options{
+		VM: cfg.VM, Board: e.board, Gatherer: gatherer, Control: e.client, Policy: set,
+		Metrics: e.metrics, Clock: clock, Serving: e.syncer.Serving,
+	})
+	return e, e.listen()
+}
+
+func policySet(p settings.Policy, clock samphirepass.Clock) policy.Set {
+	if p == settings.PolicyBaseline {
+		return policy.Baseline(clock)
+	}
+	return policy.Measured(clock)
+}
+
+// share returns how many connections this entry may hold to a leaf; without a seat it is none.
+func (e *Entry) share(a samphirepass.Announcement) int {
+	cfg := e.board.Config.Value()
+	seat, ok := cfg.Seat(e.cfg.VM)
+	if !ok {
+		return 0
+	}
+	return leaf.Share(a, seat.Number, cfg.SeatCount)
+}
+
+func (e *Entry) listen() error {
+	handlers := peer.NewHandlers()
+	e.relay.Register(handlers)
+	e.peerWS = peer.NewServer(handlers)
+	peerMux := http.NewServeMux()
+	peerMux.Handle(peer.Path, e.peerWS)
+	var err error
+	if e.peerHTTP, err = platform.Listen(e.cfg.Peer, peerMux); err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	if e.api, err = platform.Listen(e.cfg.API, e.handler()); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	return nil
+}
+
+func (e *Entry) handler() http.Handler {
+	mux := http.NewServeMux()
+	e.calls.Register(mux)
+	(&operator.API{Board: e.board, Control: e.client, Registry: e.registry, VM: e.cfg.VM, Serving: e.syncer.Serving}).Register(mux)
+	mux.Handle("POST /v1/announcements", leaf.Announcements(e.registry, e.relay.Spread))
+	mux.Handle("GET "+platform.PathReady, platform.Readiness(e.notReady))
+	mux.Handle("GET "+platform.PathMetrics, e.metrics.Handler())
+	return e.closeWhenStopping(mux)
+}
+
+// closeWhenStopping asks clients to drop their kept connections before the listener closes.
+func (e *Entry) closeWhenStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.board.Stopping.Value() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// notReady tells the balancer why it should not send requests, or nothing.
+func (e *Entry) notReady() string {
+	if e.board.Stopping.Value() {
+		return "stopping"
+	}
+	if !e.syncer.Serving() {
+		return "configuration not confirmed"
+	}
+	if _, ok := e.board.Config.Value().Seat(e.cfg.VM); !ok {
+		return "no seat"
+	}
+	return ""
+}
+
+// Run works until ctx ends and then stops without cutting a request.
+func (e *Entry) Run(ctx context.Context) error {
+	log := e.log.For("entry")
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	tree := suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { log.Errorf("Supervisor: %s.", ev) }})
+	for _, s := range []suture.Service{e.syncer, e.relay, e.warmer, e.api, e.peerHTTP} {
+		tree.Add(s)
+	}
+	finished := tree.ServeBackground(work)
+	log.Infof("Serving on %s.", e.api.Address())
+	<-ctx.Done()
+	err := e.stop(log)
+	cancel()
+	<-finished
+	log.Infof("Stopped.")
+	return err
+}
+
+// stop tells the balancer, waits for its notice, finishes the requests and gives up the seat.
+func (e *Entry) stop(log logs.Logger) error {
+	log.Infof("Stopping.")
+	e.board.Stopping.Set(true)
+	time.Sleep(e.cfg.BalancerNoticeMs.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeoutMs.Duration())
+	defer cancel()
+	err := e.api.Shutdown(ctx)
+	e.calls.Wait()
+	e.book.Close()
+	e.leaveSeat(log)
+	e.peerWS.Close()
+	_ = e.peerHTTP.Shutdown(ctx)
+	e.peers.Close()
+	if err != nil {
+		return fmt.Errorf("stop entry: %w", err)
+	}
+	return nil
+}
+
+func (e *Entry) leaveSeat(log logs.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeoutMs.Duration())
+	defer cancel()
+	change := ledger.SeatChange{VM: e.cfg.VM, Leave: true}
+	if _, err := e.client.Propose(ctx, ledger.Command{Seat: &change}); err != nil {
+		log.Errorf("Seat kept: %v.", err)
+	}
+}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,72 @@
+package samphirepass
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Code names a reason for a refusal.
+type Code string
+
+// The reasons for refusals.
+const (
+	CodeInvalid       Code = "invalid"
+	CodeNotFound      Code = "not-found"
+	CodeConflict      Code = "conflict"
+	CodeUnavailable   Code = "unavailable"
+	CodeStale         Code = "stale-configuration"
+	CodeOverloaded    Code = "overloaded"
+	CodeDeadline      Code = "deadline-exceeded"
+	CodePartial       Code = "partial-refused"
+	CodeNoSnapshot    Code = "no-snapshot"
+	CodeStopping      Code = "stopping"
+	CodeKeyExpired    Code = "key-expired"
+	CodeKeyMismatch   Code = "key-mismatch"
+	CodeKeyRunning    Code = "running"
+	CodeUnknown       Code = "outcome-unknown"
+	CodeForming       Code = "forming"
+	CodeRestartWatch  Code = "restart-watch"
+	CodeUnknownCaller Code = "unknown-caller"
+	CodeNotLeader     Code = "not-leader"
+)
+
+// Refusal is an error with a code that callers can act on.
+type Refusal struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	// Field is the path of the field at fault, if one is.
+	Field string `json:"field,omitempty"`
+	// Allowed states the allowed values of Field.
+	Allowed string `json:"allowed,omitempty"`
+	// NotRun promises that the request had no effect and will have none.
+	NotRun bool `json:"not-run"`
+	// Leader is the VM to ask instead, where it is known and the code is CodeNotLeader.
+	Leader VM `json:"leader,omitempty"`
+}
+
+// Error returns the code, the field and the message.
+func (r *Refusal) Error() string {
+	if r.Field != "" {
+		return fmt.Sprintf("%s: %s: %s (allowed: %s)", r.Code, r.Field, r.Message, r.Allowed)
+	}
+	return fmt.Sprintf("%s: %s", r.Code, r.Message)
+}
+
+// Refuse returns a refusal that promises that the request was not run.
+func Refuse(code Code, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Message: fmt.Sprintf(format, args...), NotRun: true}
+}
+
+// RefuseUnknown returns a refusal after which the request may have been run.
+func RefuseUnknown(format string, args ...any) *Refusal {
+	return &Refusal{Code: CodeUnknown, Message: fmt.Sprintf(format, args...)}
+}
+
+// AsRefusal returns the refusal in err's chain, or nil.
+func AsRefusal(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return nil
+}
--- /dev/null
+++ b/ids.go
@@ -0,0 +1,49 @@
+package samphirepass
+
+// VM names one virtual machine that runs a process of the system.
+type VM string
+
+// DataCentre names the zone that a VM or a leaf is placed in.
+type DataCentre string
+
+// Leaf names one backend server.
+type Leaf string
+
+// Service names a declared service.
+type Service string
+
+// Caller names a customer that sends queries or runs.
+type Caller string
+
+// Class names a priority class of callers.
+type Class string
+
+// Shard numbers a part of an index, from 0 to the shard count of its snapshot minus 1.
+type Shard uint32
+
+// Snapshot numbers an index version; a higher number is newer, and 0 means none.
+type Snapshot uint64
+
+// RequestID identifies one query or one attempt of it.
+type RequestID string
+
+// RunKey is a UUID version 7 that a caller chooses for a request that may not be repeated.
+type RunKey string
+
+// ChangeID identifies one change of a resource over all of its resends.
+type ChangeID string
+
+// Revision is the index in the replicated log at which a change was applied; 0 means none.
+type Revision uint64
+
+// Term numbers a leadership of the replicated log.
+type Term uint64
+
+// DiskID identifies one formatted data folder; a replaced or wiped disk has a new one.
+type DiskID string
+
+// Incarnation numbers the starts of one leaf; a higher number is a later start.
+type Incarnation uint64
+
+// Percent is a share in hundredths.
+type Percent float64
--- /dev/null
+++ b/leaf/announce.go
@@ -0,0 +1,66 @@
+package leaf
+
+import (
+	"context"
+	"net/http"
+
+	"samphirepass"
+	"samphirepass/platform"
+	"samphirepass/strict"
+)
+
+// Receipt answers an announcement.
+type Receipt struct {
+	// HeldBy counts the entries that have the announcement, of all Entries.
+	HeldBy  int `json:"held-by"`
+	Entries int `json:"entries"`
+}
+
+// Spread passes an announcement to the other entries and returns how many hold it, this one included, and how many there are.
+type Spread func(ctx context.Context, a samphirepass.Announcement) (held, entries int)
+
+// Announcements serves the announcements of leaves.
+func Announcements(registry *Registry, spread Spread) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a, err := readAnnouncement(w, r)
+		if err != nil {
+			platform.WriteError(w, err)
+			return
+		}
+		newer, changed := registry.Hear(a, 0, true)
+		if !newer {
+			platform.WriteError(w, outdated())
+			return
+		}
+		receipt := Receipt{HeldBy: 1, Entries: 1}
+		if changed || a.State == samphirepass.LeafDraining {
+			receipt.HeldBy, receipt.Entries = spread(r.Context(), a)
+		}
+		platform.WriteJSON(w, http.StatusOK, receipt)
+	})
+}
+
+func readAnnouncement(w http.ResponseWriter, r *http.Request) (samphirepass.Announcement, error) {
+	var a samphirepass.Announcement
+	body, err := platform.ReadBody(w, r)
+	if err != nil {
+		return a, err
+	}
+	if err := strict.DecodeRefusal(body, &a); err != nil {
+		return a, err
+	}
+	for _, h := range a.Holdings {
+		if int(h.Shard) >= h.Shards {
+			refusal := samphirepass.Refuse(samphirepass.CodeInvalid, "shard %d of %d", h.Shard, h.Shards)
+			refusal.Field, refusal.Allowed = "holdings.shard", "below holdings.shards"
+			return a, refusal
+		}
+	}
+	return a, nil
+}
+
+func outdated() error {
+	refusal := samphirepass.Refuse(samphirepass.CodeConflict, "a newer announcement of this leaf is known")
+	refusal.Field, refusal.Allowed = "sequence", "above the last one of this incarnation; a leaf that drains needs a new incarnation to serve again"
+	return refusal
+}
--- /dev/null
+++ b/leaf/book.go
@@ -0,0 +1,168 @@
+package leaf
+
+import (
+	"sync"
+
+	"samphirepass"
+)
+
+const (
+	// latencyWeight is the weight of a new latency in a leaf's moving mean.
+	latencyWeight = 0.2
+	// networkWeight is the weight of a new figure in the moving mean of the network's share.
+	networkWeight = 0.1
+	// shedLoad is the load of a leaf that refuses work.
+	shedLoad = 2.0
+)
+
+// target is one leaf as this entry has met it.
+type target struct {
+	address string
+	lanes   *lanes
+
+	mu           sync.Mutex
+	inFlight     int
+	latency      samphirepass.Millis
+	network      samphirepass.Millis
+	load         float64
+	loadAt       samphirepass.Millis
+	reportedLoad float64
+	failures     int
+	failedAt     samphirepass.Millis
+}
+
+// Book keeps what this entry measured of each leaf, and its connections; it is safe for concurrent use.
+type Book struct {
+	clock samphirepass.Clock
+	// share returns the number of connections that this entry may hold to a leaf.
+	share func(samphirepass.Announcement) int
+
+	mu      sync.RWMutex
+	targets map[samphirepass.Leaf]*target
+}
+
+// NewBook returns an empty book.
+func NewBook(clock samphirepass.Clock, share func(samphirepass.Announcement) int) *Book {
+	return &Book{clock: clock, share: share, targets: map[samphirepass.Leaf]*target{}}
+}
+
+// target returns the record of a leaf; a leaf that moved to another address starts anew.
+func (b *Book) target(a samphirepass.Announcement) *target {
+	b.mu.RLock()
+	t := b.targets[a.Leaf]
+	b.mu.RUnlock()
+	if t != nil && t.address == a.Address {
+		return t
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.targets[a.Leaf]; t != nil {
+		if t.address == a.Address {
+			return t
+		}
+		t.lanes.setShare(0)
+	}
+	t = &target{address: a.Address, lanes: &lanes{clock: b.clock}}
+	t.lanes.setShare(b.share(a))
+	b.targets[a.Leaf] = t
+	return t
+}
+
+// Refresh brings the shares of connections up to date and forgets leaves that are no longer announced.
+func (b *Book) Refresh(known []Known) {
+	there := make(map[samphirepass.Leaf]bool, len(known))
+	for _, k := range known {
+		there[k.Leaf] = true
+		b.target(k.Announcement).lanes.setShare(b.share(k.Announcement))
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, t := range b.targets {
+		if !there[name] {
+			t.lanes.setShare(0)
+			delete(b.targets, name)
+		}
+	}
+}
+
+// Close gives up all connections once the requests on them have ended.
+func (b *Book) Close() {
+	b.Refresh(nil)
+}
+
+// Candidate describes a leaf to the chooser.
+func (b *Book) Candidate(k Known, centre samphirepass.DataCentre) samphirepass.Candidate {
+	t := b.target(k.Announcement)
+	now := b.clock.Now()
+	t.mu.Lock()
+	c := samphirepass.Candidate{
+		Leaf: k.Leaf, SameCentre: k.DataCentre == centre, InFlight: t.inFlight, Slots: k.Slots, LatencyMs: t.latency,
+		Load: t.load, LoadAgeMs: now - t.loadAt, WarmMs: now - k.FirstMs, Failures: t.failures,
+		SinceFailureMs: now - t.failedAt, ReportedLoad: t.reportedLoad,
+	}
+	t.mu.Unlock()
+	t.lanes.mu.Lock()
+	c.Open, c.Share = t.lanes.total, t.lanes.share
+	t.lanes.mu.Unlock()
+	return c
+}
+
+func (t *target) start() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inFlight++
+}
+
+// succeed records an answer.
+func (t *target) succeed(now, took samphirepass.Millis, r samphirepass.Reply) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inFlight--
+	t.failures = 0
+	t.load, t.loadAt = r.Load, now
+	t.observe(took)
+	if outside := took - r.WorkedMs; outside > 0 {
+		t.network += (outside - t.network) * networkWeight
+	}
+}
+
+func (t *target) observe(took samphirepass.Millis) {
+	if t.latency == 0 {
+		t.latency = took
+		return
+	}
+	t.latency += (took - t.latency) * latencyWeight
+}
+
+// shed records a refusal by a leaf that is full.
+func (t *target) shed(now samphirepass.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inFlight--
+	t.load, t.loadAt = max(t.load, shedLoad), now
+}
+
+// fail records a failed attempt that was the leaf's own doing.
+func (t *target) fail(now samphirepass.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inFlight--
+	t.failures++
+	t.failedAt = now
+}
+
+// cancel records an attempt that was cut off after the given time, which its latency exceeds.
+func (t *target) cancel(took samphirepass.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inFlight--
+	if took > t.latency && t.latency > 0 {
+		t.observe(took)
+	}
+}
+
+func (t *target) networkShare() samphirepass.Millis {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.network
+}
--- /dev/null
+++ b/leaf/doc.go
@@ -0,0 +1,2 @@
+// Package leaf finds backend servers by their announcements, keeps connections to them and gathers their answers.
+package leaf
--- /dev/null
+++ b/leaf/gather.go
@@ -0,0 +1,402 @@
+package leaf
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"samphirepass"
+	"samphirepass/policy"
+)
+
+const (
+	// maxAttempts bounds the attempts on one shard of one query.
+	maxAttempts = 4
+	// replyReserveMs is kept from a deadline for merging and sending the answer.
+	replyReserveMs samphirepass.Millis = 3
+	// restartFraction is the part of the deadline that must be left for a new start on another snapshot.
+	restartFraction = 0.3
+)
+
+// Request is one query to gather.
+type Request struct {
+	ID         samphirepass.RequestID
+	Service    samphirepass.Service
+	Spec       samphirepass.ServiceSpec
+	DeadlineMs samphirepass.Millis
+	Body       []byte
+}
+
+// Gathered is what the leaves gave.
+type Gathered struct {
+	Snapshot samphirepass.Snapshot
+	Coverage samphirepass.Coverage
+	Items    []samphirepass.Item
+	// Extra counts the hedges and retries, Attempts all leaf requests.
+	Extra, Attempts int
+	// Shed is set where leaves refused work or the deadline passed.
+	Shed bool
+}
+
+// decisions are the ones of one service.
+type decisions struct {
+	hedger  samphirepass.Hedger
+	budget  samphirepass.Budget
+	percent samphirepass.Percent
+}
+
+// Gatherer sends queries to one leaf of each shard and merges the answers; it is safe for concurrent use.
+type Gatherer struct {
+	planner *Planner
+	book    *Book
+	sender  samphirepass.Sender
+	centre  samphirepass.DataCentre
+	policy  policy.Set
+	clock   samphirepass.Clock
+
+	mu       sync.Mutex
+	services map[samphirepass.Service]*decisions
+}
+
+// NewGatherer returns a gatherer of an entry in the given data centre.
+func NewGatherer(planner *Planner, book *Book, sender samphirepass.Sender, centre samphirepass.DataCentre, set policy.Set, clock samphirepass.Clock) *Gatherer {
+	return &Gatherer{
+		planner: planner, book: book, sender: sender, centre: centre, policy: set, clock: clock,
+		services: map[samphirepass.Service]*decisions{},
+	}
+}
+
+func (g *Gatherer) decisions(r Request) *decisions {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := g.services[r.Service]
+	if d == nil {
+		d = &decisions{hedger: g.policy.NewHedger(), percent: -1}
+		g.services[r.Service] = d
+	}
+	if d.percent != r.Spec.HedgeBudgetPercent {
+		d.percent = r.Spec.HedgeBudgetPercent
+		d.budget = g.policy.NewBudget(d.percent)
+	}
+	return &decisions{hedger: d.hedger, budget: d.budget}
+}
+
+// Gather returns what came from one snapshot before the deadline; its error tells that no snapshot is known.
+func (g *Gatherer) Gather(ctx context.Context, r Request) (Gathered, error) {
+	began := g.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, max(r.DeadlineMs-replyReserveMs, 1).Duration())
+	defer cancel()
+	plan := g.planner.Plan(r.Service)
+	if len(plan.Shards) == 0 {
+		return Gathered{}, samphirepass.Refuse(samphirepass.CodeNoSnapshot, "no leaf of service %q has announced a snapshot", r.Service)
+	}
+	first, retired := g.gatherPlan(ctx, r, plan, began)
+	if !retired || first.Coverage.Whole() || g.clock.Now()-began > r.DeadlineMs*(1-restartFraction) {
+		return first, nil
+	}
+	other := g.planner.Other(r.Service, plan.Snapshot)
+	if len(other.Shards) == 0 {
+		return first, nil
+	}
+	second, _ := g.gatherPlan(ctx, r, other, began)
+	second.Extra += first.Attempts
+	second.Attempts += first.Attempts
+	if second.Coverage.Answered*first.Coverage.Total < first.Coverage.Answered*second.Coverage.Total {
+		return first, nil
+	}
+	return second, nil
+}
+
+// gatherPlan asks the leaves of one plan; retired tells that leaves no longer hold the snapshot.
+func (g *Gatherer) gatherPlan(ctx context.Context, r Request, plan Plan, began samphirepass.Millis) (Gathered, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f := &fanOut{
+		g: g, ctx: ctx, request: r, plan: plan, began: began, decisions: g.decisions(r),
+		shards: make([]shardState, len(plan.Shards)), results: make(chan result, len(plan.Shards)*maxAttempts),
+	}
+	f.run()
+	return f.gathered(), f.retired
+}
+
+// result is the end of one attempt.
+type result struct {
+	shard int
+	leaf  samphirepass.Leaf
+	reply samphirepass.Reply
+	items []samphirepass.Item
+	took  samphirepass.Millis
+	err   error
+}
+
+// shardState is the course of one shard of one query.
+type shardState struct {
+	tried   []samphirepass.Leaf
+	running int
+	started samphirepass.Millis
+	// hedgeFrom is the time from which the hedge delay counts.
+	hedgeFrom samphirepass.Millis
+	answered  bool
+	partial   bool
+	items     []samphirepass.Item
+	cancels   []context.CancelFunc
+}
+
+// fanOut is one query on one snapshot; only its own goroutine touches it.
+type fanOut struct {
+	*decisions
+	g       *Gatherer
+	ctx     context.Context
+	request Request
+	plan    Plan
+	began   samphirepass.Millis
+	shards  []shardState
+	results chan result
+	timer   *time.Timer
+	// open counts the shards that may still be answered.
+	open            int
+	extra, attempts int
+	shed, retired   bool
+}
+
+func (f *fanOut) run() {
+	f.timer = time.NewTimer(time.Hour)
+	defer f.timer.Stop()
+	for i := range f.shards {
+		if len(f.plan.Shards[i]) > 0 {
+			f.open++
+			f.launch(i)
+		}
+	}
+	f.budget.Primary(f.attempts)
+	f.schedule()
+	for f.open > 0 {
+		select {
+		case r := <-f.results:
+			f.take(r)
+		case <-f.timer.C:
+			f.hedge()
+			f.schedule()
+		case <-f.ctx.Done():
+			f.shed = f.shed || errors.Is(f.ctx.Err(), context.DeadlineExceeded)
+			f.cutOff()
+			return
+		}
+	}
+}
+
+// launch starts an attempt on a leaf that this shard has not tried, if there is one left.
+func (f *fanOut) launch(shard int) bool {
+	s := &f.shards[shard]
+	leaves := f.untried(shard)
+	if len(leaves) == 0 || len(s.tried) >= maxAttempts {
+		return false
+	}
+	candidates := make([]samphirepass.Candidate, len(leaves))
+	for i, k := range leaves {
+		candidates[i] = f.g.book.Candidate(k, f.g.centre)
+	}
+	k := leaves[f.g.policy.Chooser.Choose(candidates)]
+	s.tried = append(s.tried, k.Leaf)
+	s.running++
+	s.started = f.g.clock.Now()
+	s.hedgeFrom = s.started
+	f.attempts++
+	ctx, cancel := context.WithCancel(f.ctx)
+	s.cancels = append(s.cancels, cancel)
+	a := samphirepass.Attempt{
+		Request: samphirepass.RequestID(uuid.NewString()), Service: f.request.Service, Snapshot: f.plan.Snapshot,
+		Shard: samphirepass.Shard(shard), Body: f.request.Body,
+		DeadlineMs: f.request.DeadlineMs - replyReserveMs - (s.started - f.began),
+	}
+	go f.attempt(ctx, shard, k, a)
+	return true
+}
+
+func (f *fanOut) untried(shard int) []Known {
+	tried := f.shards[shard].tried
+	if len(tried) == 0 {
+		return f.plan.Shards[shard]
+	}
+	var out []Known
+	for _, k := range f.plan.Shards[shard] {
+		if !slices.Contains(tried, k.Leaf) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+func (f *fanOut) attempt(ctx context.Context, shard int, k Known, a samphirepass.Attempt) {
+	began := f.g.clock.Now()
+	r := result{shard: shard, leaf: k.Leaf}
+	r.reply, r.err = f.g.sender.Send(ctx, k.Announcement, a)
+	if r.err == nil {
+		if err := json.Unmarshal(r.reply.Body, &r.items); err != nil {
+			r.err = failed(samphirepass.FailureMismatch, fmt.Errorf("decode items of %s: %w", k.Leaf, err))
+		}
+	}
+	r.took = f.g.clock.Now() - began
+	f.results <- r
+}
+
+func (f *fanOut) take(r result) {
+	s := &f.shards[r.shard]
+	s.running--
+	if s.answered {
+		return
+	}
+	if r.err != nil {
+		f.takeFailure(r)
+		return
+	}
+	f.hedger.Observe(r.took)
+	// A leaf's own partial answer is kept in case no other leaf does better.
+	if r.reply.Partial {
+		f.takePartial(r)
+		return
+	}
+	s.answered, s.partial, s.items = true, false, r.items
+	f.close(r.shard)
+}
+
+// close ends a shard and cuts off what still runs for it.
+func (f *fanOut) close(shard int) {
+	s := &f.shards[shard]
+	if s.running > 0 {
+		f.hedger.Observe(f.g.clock.Now() - s.started)
+	}
+	for _, cancel := range s.cancels {
+		cancel()
+	}
+	f.open--
+}
+
+func (f *fanOut) takePartial(r result) {
+	s := &f.shards[r.shard]
+	if !s.partial || len(r.items) > len(s.items) {
+		s.partial, s.items = true, r.items
+	}
+	f.retry(r.shard)
+}
+
+func (f *fanOut) takeFailure(r result) {
+	var failure *samphirepass.AttemptError
+	if errors.As(r.err, &failure) {
+		switch failure.Kind {
+		case samphirepass.FailureShed:
+			f.shed = true
+			f.budget.Overload()
+		case samphirepass.FailureNotHeld:
+			f.retired = true
+		}
+	}
+	f.retry(r.shard)
+}
+
+// retry starts another attempt if the budget allows, and gives the shard up if nothing runs for it any more.
+func (f *fanOut) retry(shard int) {
+	s := &f.shards[shard]
+	if s.running > 0 {
+		return
+	}
+	if f.ctx.Err() == nil && f.extraAttempt(shard) {
+		return
+	}
+	f.close(shard)
+}
+
+func (f *fanOut) extraAttempt(shard int) bool {
+	if len(f.untried(shard)) == 0 || !f.budget.Take() {
+		return false
+	}
+	if !f.launch(shard) {
+		return false
+	}
+	f.extra++
+	f.schedule()
+	return true
+}
+
+// schedule sets the timer to the time at which the next shard counts as late.
+func (f *fanOut) schedule() {
+	delay, ok := f.hedger.Delay()
+	if !ok {
+		return
+	}
+	next := samphirepass.Millis(-1)
+	for i := range f.shards {
+		if at := f.shards[i].hedgeFrom + delay; f.hedgeable(i) && (next < 0 || at < next) {
+			next = at
+		}
+	}
+	if next >= 0 {
+		f.timer.Reset((next - f.g.clock.Now()).Duration())
+	}
+}
+
+// hedgeable reports whether a shard waits for one attempt and could have another.
+func (f *fanOut) hedgeable(shard int) bool {
+	s := &f.shards[shard]
+	return !s.answered && s.running == 1 && len(s.tried) < maxAttempts && len(f.untried(shard)) > 0
+}
+
+func (f *fanOut) hedge() {
+	delay, _ := f.hedger.Delay()
+	now := f.g.clock.Now()
+	for i := range f.shards {
+		if !f.hedgeable(i) || now-f.shards[i].hedgeFrom < delay {
+			continue
+		}
+		if !f.extraAttempt(i) {
+			// Without budget the shard is looked at again after another delay.
+			f.shards[i].hedgeFrom = now
+		}
+	}
+}
+
+// cutOff books the attempts that the deadline ended as at least as slow as they were.
+func (f *fanOut) cutOff() {
+	now := f.g.clock.Now()
+	for i := range f.shards {
+		if s := &f.shards[i]; !s.answered && s.running > 0 {
+			f.hedger.Observe(now - s.started)
+		}
+	}
+}
+
+func (f *fanOut) gathered() Gathered {
+	out := Gathered{Snapshot: f.plan.Snapshot, Extra: f.extra, Attempts: f.attempts, Shed: f.shed}
+	out.Coverage.Total = len(f.shards)
+	out.Coverage.Missing = []samphirepass.Shard{}
+	for i := range f.shards {
+		s := &f.shards[i]
+		if s.answered {
+			out.Coverage.Answered++
+		} else {
+			out.Coverage.Missing = append(out.Coverage.Missing, samphirepass.Shard(i))
+		}
+		out.Items = append(out.Items, s.items...)
+	}
+	out.Items = merge(out.Items, f.request.Spec.Merge)
+	return out
+}
+
+// merge applies the declared merge to the items of all shards, in the order of shards.
+func merge(items []samphirepass.Item, spec samphirepass.MergeSpec) []samphirepass.Item {
+	if items == nil {
+		items = []samphirepass.Item{}
+	}
+	if spec.Kind != samphirepass.MergeTop {
+		return items
+	}
+	slices.SortStableFunc(items, func(a, b samphirepass.Item) int { return cmp.Compare(b.Score, a.Score) })
+	return items[:min(len(items), spec.N)]
+}
--- /dev/null
+++ b/leaf/plan.go
@@ -0,0 +1,125 @@
+package leaf
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"samphirepass"
+)
+
+// planMs is how long a plan is used before silent leaves are looked for again.
+const planMs samphirepass.Millis = 100
+
+// Plan is one snapshot with the leaves that hold each of its shards.
+type Plan struct {
+	Snapshot samphirepass.Snapshot
+	// Shards has one element for each shard of the snapshot; an element may be empty.
+	Shards [][]Known
+}
+
+// Covered counts the shards that some leaf holds.
+func (p Plan) Covered() int {
+	n := 0
+	for _, leaves := range p.Shards {
+		if len(leaves) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// MakePlan picks the newest snapshot that is whole, or else the newest of those that cover the most.
+func MakePlan(leaves []Known, avoid samphirepass.Snapshot) Plan {
+	plans := plansBySnapshot(leaves)
+	delete(plans, avoid)
+	var best Plan
+	for _, p := range plans {
+		if betterPlan(p, best) {
+			best = p
+		}
+	}
+	return best
+}
+
+func betterPlan(a, b Plan) bool {
+	if len(b.Shards) == 0 {
+		return true
+	}
+	aWhole, bWhole := a.Covered() == len(a.Shards), b.Covered() == len(b.Shards)
+	if aWhole != bWhole {
+		return aWhole
+	}
+	if aWhole {
+		return a.Snapshot > b.Snapshot
+	}
+	share := cmp.Compare(a.Covered()*len(b.Shards), b.Covered()*len(a.Shards))
+	return cmp.Or(share, cmp.Compare(a.Snapshot, b.Snapshot)) > 0
+}
+
+func plansBySnapshot(leaves []Known) map[samphirepass.Snapshot]Plan {
+	// Leaves that disagree on the number of shards must not make an answer look whole, so the largest counts.
+	totals := map[samphirepass.Snapshot]int{}
+	for _, k := range leaves {
+		for _, h := range k.Holdings {
+			totals[h.Snapshot] = max(totals[h.Snapshot], h.Shards)
+		}
+	}
+	plans := make(map[samphirepass.Snapshot]Plan, len(totals))
+	for s, n := range totals {
+		plans[s] = Plan{Snapshot: s, Shards: make([][]Known, n)}
+	}
+	for _, k := range leaves {
+		for _, h := range k.Holdings {
+			if h.Shards != totals[h.Snapshot] {
+				continue
+			}
+			shards := plans[h.Snapshot].Shards
+			if !slices.ContainsFunc(shards[h.Shard], func(one Known) bool { return one.Leaf == k.Leaf }) {
+				shards[h.Shard] = append(shards[h.Shard], k)
+			}
+		}
+	}
+	return plans
+}
+
+type cachedPlan struct {
+	plan    Plan
+	version uint64
+	at      samphirepass.Millis
+}
+
+// Planner keeps the plan of each service until announcements change; it is safe for concurrent use.
+type Planner struct {
+	registry *Registry
+	clock    samphirepass.Clock
+
+	mu    sync.Mutex
+	plans map[samphirepass.Service]cachedPlan
+}
+
+// NewPlanner returns a planner over registry.
+func NewPlanner(registry *Registry, clock samphirepass.Clock) *Planner {
+	return &Planner{registry: registry, clock: clock, plans: map[samphirepass.Service]cachedPlan{}}
+}
+
+// Plan returns the plan of a service; one without shards means that no snapshot is known.
+func (p *Planner) Plan(service samphirepass.Service) Plan {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.plans[service]
+	if ok && c.version == p.registry.Version() && now-c.at < planMs {
+		return c.plan
+	}
+	leaves, version := p.registry.Usable(service)
+	c = cachedPlan{plan: MakePlan(leaves, 0), version: version, at: now}
+	p.plans[service] = c
+	return c.plan
+}
+
+// Other returns a plan on another snapshot than the one to avoid.
+func (p *Planner) Other(service samphirepass.Service, avoid samphirepass.Snapshot) Plan {
+	leaves, _ := p.registry.Usable(service)
+	return MakePlan(leaves, avoid)
+}
--- /dev/null
+++ b/leaf/registry.go
@@ -0,0 +1,186 @@
+package leaf
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"samphirepass"
+)
+
+// ExpiryMs is the silence after which a leaf counts as gone.
+const ExpiryMs samphirepass.Millis = 4000
+
+// AliveMs is the age up to which a direct announcement is passed on as a sign of life.
+const AliveMs samphirepass.Millis = 2000
+
+// Known is an announcement with the time at which it was last heard.
+type Known struct {
+	samphirepass.Announcement
+	// HeardMs is on this process's clock.
+	HeardMs samphirepass.Millis
+	// FirstMs is when this incarnation was first heard of.
+	FirstMs samphirepass.Millis
+	// Direct is set where the leaf itself announced to this process.
+	Direct bool
+}
+
+// Heard is an announcement as it is passed between entries.
+type Heard struct {
+	Announcement samphirepass.Announcement
+	AgeMs        samphirepass.Millis
+}
+
+// Alive is a sign of life of a leaf that both entries know.
+type Alive struct {
+	Leaf        samphirepass.Leaf
+	Incarnation samphirepass.Incarnation
+	Sequence    uint64
+	AgeMs       samphirepass.Millis
+}
+
+// Registry holds the newest announcement of each leaf and is safe for concurrent use.
+type Registry struct {
+	clock samphirepass.Clock
+
+	mu      sync.RWMutex
+	leaves  map[samphirepass.Leaf]Known
+	version uint64
+	digest  uint64
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(clock samphirepass.Clock) *Registry {
+	return &Registry{clock: clock, leaves: map[samphirepass.Leaf]Known{}}
+}
+
+// content is a hash of all of an announcement but its sequence.
+func content(a samphirepass.Announcement) uint64 {
+	a.Sequence = 0
+	return xxhash.Sum64String(fmt.Sprintf("%+v", a))
+}
+
+// Hear takes in an announcement and reports whether it is new, and whether more than its sequence changed.
+func (r *Registry) Hear(a samphirepass.Announcement, age samphirepass.Millis, direct bool) (newer, changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	have, ok := r.leaves[a.Leaf]
+	if ok && !a.Newer(have.Announcement) {
+		return false, false
+	}
+	k := Known{Announcement: a, HeardMs: now - age, FirstMs: now, Direct: direct}
+	if ok && have.Incarnation == a.Incarnation {
+		k.FirstMs = have.FirstMs
+		k.HeardMs = max(k.HeardMs, have.HeardMs)
+	}
+	before, after := uint64(0), content(a)
+	if ok {
+		before = content(have.Announcement)
+	}
+	r.leaves[a.Leaf] = k
+	if before != after {
+		r.digest ^= before ^ after
+		r.version++
+	}
+	return true, before != after
+}
+
+// Confirm takes in a sign of life.
+func (r *Registry) Confirm(a Alive) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k, ok := r.leaves[a.Leaf]
+	if !ok || k.Incarnation != a.Incarnation || a.Sequence < k.Sequence {
+		return
+	}
+	k.HeardMs = max(k.HeardMs, r.clock.Now()-a.AgeMs)
+	r.leaves[a.Leaf] = k
+}
+
+// Digest sums up what is known; two registries with equal digests know the same but for sequences.
+func (r *Registry) Digest() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.digest
+}
+
+// Table returns everything known, for another entry.
+func (r *Registry) Table() []Heard {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	now := r.clock.Now()
+	out := make([]Heard, 0, len(r.leaves))
+	for _, k := range r.leaves {
+		out = append(out, Heard{Announcement: k.Announcement, AgeMs: now - k.HeardMs})
+	}
+	return out
+}
+
+// Alive returns the leaves that lately announced to this process itself.
+func (r *Registry) Alive() []Alive {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	now := r.clock.Now()
+	var out []Alive
+	for _, k := range r.leaves {
+		if k.Direct && now-k.HeardMs <= AliveMs {
+			out = append(out, Alive{Leaf: k.Leaf, Incarnation: k.Incarnation, Sequence: k.Sequence, AgeMs: now - k.HeardMs})
+		}
+	}
+	return out
+}
+
+// All returns everything known, in the order of names.
+func (r *Registry) All() []Known {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]Known, 0, len(r.leaves))
+	for _, k := range r.leaves {
+		out = append(out, k)
+	}
+	slices.SortFunc(out, func(a, b Known) int {
+		if a.Leaf < b.Leaf {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Usable returns the leaves of a service that may get work, and a version that changes when announcements do.
+func (r *Registry) Usable(service samphirepass.Service) ([]Known, uint64) {
+	all := r.All()
+	r.mu.RLock()
+	version := r.version
+	r.mu.RUnlock()
+	return usable(all, service, r.clock.Now()), version
+}
+
+// Version returns a number that changes whenever an announcement changes more than its sequence.
+func (r *Registry) Version() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.version
+}
+
+// usable drops leaves that do not serve or fell silent.
+// Where most leaves fell silent at once the fault is likelier on this side, so silence alone then drops none (issue 3).
+func usable(all []Known, service samphirepass.Service, now samphirepass.Millis) []Known {
+	var serving, heard []Known
+	for _, k := range all {
+		if k.Service != service || k.State != samphirepass.LeafServing {
+			continue
+		}
+		serving = append(serving, k)
+		if now-k.HeardMs <= ExpiryMs {
+			heard = append(heard, k)
+		}
+	}
+	if len(heard) <= len(serving)/2 {
+		return serving
+	}
+	return heard
+}
--- /dev/null
+++ b/leaf/run.go
@@ -0,0 +1,33 @@
+package leaf
+
+import (
+	"context"
+
+	"github.com/cespare/xxhash/v2"
+
+	"samphirepass"
+)
+
+// Pick returns the shard of route in the service's current snapshot and the leaf of that shard to ask.
+func (g *Gatherer) Pick(service samphirepass.Service, route string) (Known, samphirepass.Attempt, error) {
+	plan := g.planner.Plan(service)
+	if len(plan.Shards) == 0 {
+		return Known{}, samphirepass.Attempt{}, samphirepass.Refuse(samphirepass.CodeNoSnapshot, "no leaf of service %q has announced a snapshot", service)
+	}
+	shard := int(xxhash.Sum64String(route) % uint64(len(plan.Shards)))
+	leaves := plan.Shards[shard]
+	if len(leaves) == 0 {
+		return Known{}, samphirepass.Attempt{}, samphirepass.Refuse(samphirepass.CodeUnavailable, "no leaf holds shard %d of snapshot %d", shard, plan.Snapshot)
+	}
+	candidates := make([]samphirepass.Candidate, len(leaves))
+	for i, k := range leaves {
+		candidates[i] = g.book.Candidate(k, g.centre)
+	}
+	k := leaves[g.policy.Chooser.Choose(candidates)]
+	return k, samphirepass.Attempt{Service: service, Snapshot: plan.Snapshot, Shard: samphirepass.Shard(shard)}, nil
+}
+
+// Run sends a claimed run to a leaf, once.
+func (g *Gatherer) Run(ctx context.Context, k Known, a samphirepass.Attempt) (samphirepass.Reply, error) {
+	return g.sender.Send(ctx, k.Announcement, a)
+}
--- /dev/null
+++ b/leaf/warm.go
@@ -0,0 +1,105 @@
+package leaf
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"samphirepass"
+)
+
+const (
+	warmEveryMs samphirepass.Millis = 500
+	// staleMs is the time without an answer after which a kept connection is tried.
+	staleMs samphirepass.Millis = 3000
+	// probeTimeoutMs is the time after which a tried connection counts as silent.
+	probeTimeoutMs samphirepass.Millis = 500
+	// maxLoadBytes bounds what is read of a load figure.
+	maxLoadBytes = 1024
+)
+
+// Warmer keeps connections open ahead of need and replaces those that have gone silent.
+type Warmer struct {
+	registry *Registry
+	book     *Book
+	clock    samphirepass.Clock
+}
+
+// NewWarmer returns a warmer of the leaves in registry.
+func NewWarmer(registry *Registry, book *Book, clock samphirepass.Clock) *Warmer {
+	return &Warmer{registry: registry, book: book, clock: clock}
+}
+
+// Serve runs until ctx ends.
+func (m *Warmer) Serve(ctx context.Context) error {
+	t := time.NewTicker(warmEveryMs.Duration())
+	defer t.Stop()
+	for {
+		known := m.registry.All()
+		m.book.Refresh(known)
+		for _, k := range known {
+			if k.State == samphirepass.LeafServing {
+				m.warm(ctx, k)
+			}
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return fmt.Errorf("warm connections: %w", ctx.Err())
+		}
+	}
+}
+
+// warm probes the stale connections of one leaf and opens the missing ones, up to one more than its slots.
+func (m *Warmer) warm(ctx context.Context, k Known) {
+	t := m.book.target(k.Announcement)
+	var stale []*lane
+	for one := t.lanes.acquireStale(m.clock.Now()-staleMs, k.Slots+1); one != nil; {
+		stale = append(stale, one)
+		one = t.lanes.acquireStale(m.clock.Now()-staleMs, k.Slots+1)
+	}
+	for _, one := range stale {
+		go m.probe(ctx, t, one)
+	}
+}
+
+func (m *Warmer) probe(ctx context.Context, t *target, one *lane) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeoutMs.Duration())
+	defer cancel()
+	defer t.lanes.release(one)
+	load, err := fetchLoad(ctx, t, one)
+	now := m.clock.Now()
+	if err != nil {
+		one.cutMs = now
+		return
+	}
+	one.usedMs = now
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reportedLoad = load
+}
+
+// fetchLoad reads the leaf's own figure of its load, which may lag or mislead.
+func fetchLoad(ctx context.Context, t *target, one *lane) (float64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.address+PathLoad, nil)
+	if err != nil {
+		return 0, fmt.Errorf("make load request: %w", err)
+	}
+	resp, err := one.transport.RoundTrip(req)
+	if err != nil {
+		return 0, fmt.Errorf("ask for load: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadBytes))
+	if err != nil {
+		return 0, fmt.Errorf("read load: %w", err)
+	}
+	load, err := strconv.ParseFloat(string(body), 64)
+	if err != nil {
+		return 0, fmt.Errorf("read load: %w", err)
+	}
+	return load, nil
+}
--- /dev/null
+++ b/ledger/doc.go
@@ -0,0 +1,2 @@
+// Package ledger is the replicated state machine: resources, run records and entry seats.
+package ledger
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,173 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"samphirepass"
+	"samphirepass/cbor"
+)
+
+// dialTimeoutMs bounds the opening of a connection.
+const dialTimeoutMs samphirepass.Millis = 1000
+
+// redialPauseMs keeps failed dials apart.
+const redialPauseMs samphirepass.Millis = 100
+
+// Client keeps one connection to one address, opened when first needed and again when it is lost; it is safe for concurrent use.
+type Client struct {
+	address string
+	http    *http.Client
+
+	mu      sync.Mutex
+	conn    *conn
+	dialing chan struct{}
+	failed  time.Time
+	lastErr error
+	stopped bool
+}
+
+// NewClient returns a client of the process at address, an IP number with a port.
+func NewClient(address string) *Client {
+	return &Client{address: address, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// Address returns the address of the other process.
+func (c *Client) Address() string { return c.address }
+
+// Call sends a request and decodes the reply into reply; ErrLost or a context error leave open whether it was carried out.
+func (c *Client) Call(ctx context.Context, kind string, req, reply any) error {
+	body, err := cbor.Marshal(req)
+	if err != nil {
+		return fmt.Errorf("encode request %s: %w", kind, err)
+	}
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	b, err := conn.call(ctx, kind, body)
+	if err != nil {
+		return fmt.Errorf("call %s at %s: %w", kind, c.address, err)
+	}
+	if err := cbor.Unmarshal(b, reply); err != nil {
+		return fmt.Errorf("decode reply to %s: %w", kind, err)
+	}
+	return nil
+}
+
+// Notify sends a one-way message if a connection stands, and opens one for the next message if not.
+func (c *Client) Notify(kind string, msg any) {
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	if conn == nil || conn.closed() {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), dialTimeoutMs.Duration())
+			defer cancel()
+			_, _ = c.connect(ctx)
+		}()
+		return
+	}
+	if body, err := cbor.Marshal(msg); err == nil {
+		_ = conn.send(frame{Kind: kind, Body: body})
+	}
+}
+
+// connect returns the open connection or dials one; one dial runs at a time.
+func (c *Client) connect(ctx context.Context) (*conn, error) {
+	for {
+		c.mu.Lock()
+		if c.stopped {
+			c.mu.Unlock()
+			return nil, ErrLost
+		}
+		if c.conn != nil && !c.conn.closed() {
+			defer c.mu.Unlock()
+			return c.conn, nil
+		}
+		if c.lastErr != nil && time.Since(c.failed) < redialPauseMs.Duration() {
+			defer c.mu.Unlock()
+			return nil, c.lastErr
+		}
+		if c.dialing == nil {
+			c.dialing = make(chan struct{})
+			go c.dial(c.dialing)
+		}
+		wait := c.dialing
+		c.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, fmt.Errorf("connect to %s: %w", c.address, ctx.Err())
+		}
+	}
+}
+
+func (c *Client) dial(finished chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeoutMs.Duration())
+	defer cancel()
+	ws, _, err := websocket.Dial(ctx, "ws://"+c.address+Path, &websocket.DialOptions{
+		HTTPClient: c.http, CompressionMode: websocket.CompressionDisabled,
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer close(finished)
+	c.dialing = nil
+	if err != nil {
+		c.failed = time.Now()
+		c.lastErr = fmt.Errorf("dial %s: %w", c.address, err)
+		return
+	}
+	c.lastErr = nil
+	if c.stopped {
+		_ = ws.CloseNow()
+		return
+	}
+	c.conn = newConn(ws, NewHandlers())
+	go c.conn.run(context.Background())
+}
+
+// Close ends the connection and refuses further requests.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	if c.conn != nil {
+		c.conn.close()
+	}
+}
+
+// Pool keeps one client for each address and is safe for concurrent use; its zero value is ready.
+type Pool struct {
+	mu      sync.Mutex
+	clients map[string]*Client
+}
+
+// Get returns the client of address.
+func (p *Pool) Get(address string) *Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.clients == nil {
+		p.clients = map[string]*Client{}
+	}
+	c := p.clients[address]
+	if c == nil {
+		c = NewClient(address)
+		p.clients[address] = c
+	}
+	return c
+}
+
+// Close closes all clients.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/coder/websocket"
+
+	"samphirepass"
+	"samphirepass/cbor"
+)
+
+// Path is where a process serves its peers.
+const Path = "/peer"
+
+// Handlers maps the kinds of requests and one-way messages to functions; it is filled before use.
+type Handlers struct {
+	calls    map[string]func(ctx context.Context, body []byte) (any, error)
+	notifies map[string]func(body []byte)
+}
+
+// NewHandlers returns an empty set.
+func NewHandlers() *Handlers {
+	return &Handlers{
+		calls:    map[string]func(context.Context, []byte) (any, error){},
+		notifies: map[string]func([]byte){},
+	}
+}
+
+// HandleCall registers the function for requests of one kind.
+func HandleCall[Req, Reply any](h *Handlers, kind string, f func(context.Context, Req) (Reply, error)) {
+	h.calls[kind] = func(ctx context.Context, body []byte) (any, error) {
+		var req Req
+		if err := cbor.Unmarshal(body, &req); err != nil {
+			return nil, samphirepass.Refuse(samphirepass.CodeInvalid, "request %s: %v", kind, err)
+		}
+		return f(ctx, req)
+	}
+}
+
+// HandleNotify registers the function for one-way messages of one kind; it must not block.
+func HandleNotify[Req any](h *Handlers, kind string, f func(Req)) {
+	h.notifies[kind] = func(body []byte) {
+		var req Req
+		if cbor.Unmarshal(body, &req) == nil {
+			f(req)
+		}
+	}
+}
+
+func (h *Handlers) call(ctx context.Context, kind string, body []byte) ([]byte, error) {
+	f := h.calls[kind]
+	if f == nil {
+		return nil, samphirepass.Refuse(samphirepass.CodeNotFound, "no request of kind %q", kind)
+	}
+	v, err := f(ctx, body)
+	if err != nil {
+		return nil, err
+	}
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode reply to %s: %w", kind, err)
+	}
+	return b, nil
+}
+
+func (h *Handlers) notify(kind string, body []byte) {
+	if f := h.notifies[kind]; f != nil {
+		f(body)
+	}
+}
+
+// Server accepts connections of peers.
+type Server struct {
+	handlers *Handlers
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+// NewServer returns a server that answers with h.
+func NewServer(h *Handlers) *Server {
+	s := &Server{handlers: h}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
+}
+
+// ServeHTTP upgrades to a WebSocket and serves it until it ends.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return
+	}
+	s.wg.Add(1)
+	defer s.wg.Done()
+	c := newConn(ws, s.handlers)
+	go func() {
+		select {
+		case <-s.ctx.Done():
+			c.close()
+		case <-c.done:
+		}
+	}()
+	c.run(s.ctx)
+}
+
+// Close ends all connections.
+func (s *Server) Close() {
+	s.cancel()
+	s.wg.Wait()
+}
--- /dev/null
+++ b/policy.go
@@ -0,0 +1,73 @@
+package samphirepass
+
+// Candidate is what an entry knows of one leaf when it chooses where to send an attempt.
+type Candidate struct {
+	Leaf       Leaf
+	SameCentre bool
+	// InFlight counts this entry's own attempts on the leaf.
+	InFlight int
+	Slots    int
+	// LatencyMs is a moving mean of the leaf's answers, 0 before the first.
+	LatencyMs Millis
+	// Load is the fraction of its slots that the leaf itself last reported as taken or queued for.
+	Load float64
+	// LoadAgeMs is the age of Load.
+	LoadAgeMs Millis
+	// WarmMs is the time since the leaf's incarnation was first heard of.
+	WarmMs Millis
+	// Failures counts the failed attempts since the last good one.
+	Failures int
+	// SinceFailureMs is the time since the last failed attempt.
+	SinceFailureMs Millis
+	// Open counts the connections to the leaf that stand now.
+	Open int
+	// Share is the number of connections that this entry may hold to the leaf.
+	Share int
+	// ReportedLoad is the figure of the leaf's own health endpoint, which may lag or mislead.
+	ReportedLoad float64
+}
+
+// Chooser picks one of several leaves that hold the same shard and is safe for concurrent use.
+type Chooser interface {
+	// Choose returns an index into candidates, which is not empty.
+	Choose(candidates []Candidate) int
+}
+
+// Hedger decides when a shard counts as late and is safe for concurrent use.
+type Hedger interface {
+	// Observe records the time of one whole leaf request.
+	Observe(latency Millis)
+	// Delay returns the time after which a second attempt is worth its load, and whether one is wanted at all.
+	Delay() (Millis, bool)
+}
+
+// Budget bounds extra leaf requests and is safe for concurrent use.
+type Budget interface {
+	// Primary records n first attempts.
+	Primary(n int)
+	// Take asks for one extra attempt.
+	Take() bool
+	// Overload closes the budget while the service sheds.
+	Overload()
+}
+
+// Ticket asks for admission of one request.
+type Ticket struct {
+	Caller Caller
+	// Rank is the place of the class in the operators' order, 0 first.
+	Rank       int
+	DeadlineMs Millis
+}
+
+// Outcome tells a limiter how an admitted request ended.
+type Outcome struct {
+	LatencyMs Millis
+	// Shed is set where leaves refused work or the deadline passed.
+	Shed bool
+}
+
+// Admitter decides which requests run now, wait or are refused; it is safe for concurrent use.
+type Admitter interface {
+	// Admit blocks until the request may run; it returns a function to call at its end, or a refusal.
+	Admit(done <-chan struct{}, t Ticket) (func(Outcome), error)
+}
--- /dev/null
+++ b/quorum/core.go
@@ -0,0 +1,466 @@
+package quorum
+
+import (
+	"math/rand"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"samphirepass"
+)
+
+// Timeouts in ticks; the driver decides how long a tick is.
+const (
+	HeartbeatTicks   = 2
+	ElectionTicksMin = 10
+	ElectionTicksMax = 20
+)
+
+// maxBatch is the number of entries that one append carries at most.
+const maxBatch = 256
+
+// Errors of proposals and reads.
+var (
+	ErrNotLeader = eris.New("quorum: not the leader")
+	ErrPending   = eris.New("quorum: another membership change is not yet committed")
+	ErrTooMany   = eris.New("quorum: a membership change may touch one voter only")
+)
+
+// Options set up a Core.
+type Options struct {
+	VM   samphirepass.VM
+	Disk samphirepass.DiskID
+	// Rand draws election timeouts.
+	Rand *rand.Rand
+	// Hard, Snapshot and Entries are what the disk held.
+	Hard     HardState
+	Snapshot Snapshot
+	Entries  []Entry
+}
+
+type progress struct {
+	match, next samphirepass.Revision
+	active      bool
+	round       uint64
+}
+
+type pendingRead struct {
+	id    uint64
+	round uint64
+	index samphirepass.Revision
+}
+
+// Core is one member's state machine; it is not safe for concurrent use.
+type Core struct {
+	vm   samphirepass.VM
+	disk samphirepass.DiskID
+	rnd  *rand.Rand
+
+	hard      HardState
+	savedHard HardState
+	log       entryLog
+	installed *Snapshot
+
+	role    Role
+	leader  samphirepass.VM
+	commit  samphirepass.Revision
+	applied samphirepass.Revision
+
+	ticks           int
+	electionTimeout int
+	quorumTicks     int
+	// sinceLeader counts the ticks since a leader was last heard of.
+	sinceLeader int
+
+	votes      map[samphirepass.DiskID]bool
+	peers      map[samphirepass.VM]*progress
+	round      uint64
+	reads      []pendingRead
+	doneReads  []ReadState
+	lostReads  []uint64
+	messages   []Message
+	transferTo samphirepass.VM
+	transferIn int
+	// members is the latest membership in the log, committed or not.
+	members      Members
+	membersIndex samphirepass.Revision
+}
+
+// New returns a follower with the state that the disk held.
+func New(o Options) *Core {
+	c := &Core{vm: o.VM, disk: o.Disk, rnd: o.Rand, hard: o.Hard, savedHard: o.Hard, role: RoleFollower}
+	c.log = entryLog{snapshot: o.Snapshot, entries: o.Entries}
+	c.log.stable = c.log.last()
+	c.commit = o.Snapshot.Index
+	c.applied = o.Snapshot.Index
+	c.sinceLeader = ElectionTicksMin
+	c.refreshMembers()
+	c.resetElection()
+	return c
+}
+
+// Role returns the present role.
+func (c *Core) Role() Role { return c.role }
+
+// Term returns the present term.
+func (c *Core) Term() samphirepass.Term { return c.hard.Term }
+
+// Leader returns the VM that leads the present term, or an empty name.
+func (c *Core) Leader() samphirepass.VM { return c.leader }
+
+// Members returns the latest membership, committed or not.
+func (c *Core) Members() Members { return c.members }
+
+// Commit returns the highest committed index.
+func (c *Core) Commit() samphirepass.Revision { return c.commit }
+
+// Last returns the index of the last entry.
+func (c *Core) Last() samphirepass.Revision { return c.log.last() }
+
+// LastTerm returns the term of the last entry.
+func (c *Core) LastTerm() samphirepass.Term { return c.log.lastTerm() }
+
+// LogLength returns the number of entries since the last snapshot.
+func (c *Core) LogLength() int { return len(c.log.entries) }
+
+// Initialised reports whether this member has ever held a membership.
+func (c *Core) Initialised() bool { return len(c.members) > 0 }
+
+// Match returns the highest index that vm is known to hold; it is 0 on members that do not lead.
+func (c *Core) Match(vm samphirepass.VM) samphirepass.Revision {
+	if p := c.peers[vm]; p != nil {
+		return p.match
+	}
+	return 0
+}
+
+// Active reports whether the leader heard from vm within the last election timeout.
+func (c *Core) Active(vm samphirepass.VM) bool {
+	p := c.peers[vm]
+	return p != nil && p.active
+}
+
+// Bootstrap makes an empty member the only voter of a new log.
+func (c *Core) Bootstrap(members Members) {
+	c.hard.Term = 1
+	c.log.add(Entry{Index: 1, Term: 1, Kind: EntryMembers, Members: members})
+	c.refreshMembers()
+}
+
+func (c *Core) refreshMembers() {
+	c.members, c.membersIndex = c.log.members()
+	if c.role != RoleLeader {
+		return
+	}
+	for _, m := range c.members {
+		if m.VM != c.vm && c.peers[m.VM] == nil {
+			c.peers[m.VM] = &progress{next: c.log.last() + 1}
+		}
+	}
+	for vm := range c.peers {
+		if _, ok := c.members.Find(vm); !ok {
+			delete(c.peers, vm)
+		}
+	}
+}
+
+func (c *Core) voter() bool {
+	m, ok := c.members.Find(c.vm)
+	return ok && m.Voter && m.Disk == c.disk
+}
+
+func (c *Core) resetElection() {
+	c.ticks = 0
+	c.electionTimeout = ElectionTicksMin + c.rnd.Intn(ElectionTicksMax-ElectionTicksMin+1)
+}
+
+func (c *Core) becomeFollower(term samphirepass.Term, leader samphirepass.VM) {
+	if term > c.hard.Term {
+		c.hard = HardState{Term: term}
+	}
+	c.role = RoleFollower
+	c.leader = leader
+	c.transferTo = ""
+	c.peers = nil
+	c.loseReads()
+	c.resetElection()
+}
+
+func (c *Core) loseReads() {
+	for _, r := range c.reads {
+		c.lostReads = append(c.lostReads, r.id)
+	}
+	c.reads = nil
+}
+
+// Tick advances the time by one tick.
+func (c *Core) Tick() {
+	c.ticks++
+	c.sinceLeader++
+	if c.role == RoleLeader {
+		c.tickLeader()
+		return
+	}
+	if c.ticks >= c.electionTimeout && c.voter() {
+		c.campaign(RolePreCandidate, false)
+	}
+}
+
+func (c *Core) tickLeader() {
+	c.sinceLeader = 0
+	c.quorumTicks++
+	if c.quorumTicks >= ElectionTicksMin {
+		c.quorumTicks = 0
+		if !c.checkQuorum() {
+			c.becomeFollower(c.hard.Term, "")
+			return
+		}
+	}
+	if c.transferTo != "" {
+		c.transferIn--
+		if c.transferIn <= 0 {
+			c.transferTo = ""
+		}
+	}
+	if c.ticks >= HeartbeatTicks {
+		c.ticks = 0
+		c.broadcast()
+	}
+}
+
+// checkQuorum reports whether a majority was heard from since the last call.
+func (c *Core) checkQuorum() bool {
+	n := 0
+	for _, m := range c.members {
+		if m.VM == c.vm {
+			n += count(m.Voter)
+			continue
+		}
+		p := c.peers[m.VM]
+		n += count(m.Voter && p.active)
+		p.active = false
+	}
+	return n >= c.members.Majority()
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (c *Core) campaign(role Role, force bool) {
+	c.role = role
+	c.leader = ""
+	c.resetElection()
+	c.votes = map[samphirepass.DiskID]bool{}
+	kind, term := MessagePreVote, c.hard.Term+1
+	if role == RoleCandidate {
+		kind = MessageVote
+		c.hard = HardState{Term: term, Vote: c.disk}
+	}
+	for _, m := range c.members {
+		if m.VM != c.vm && m.Voter {
+			c.send(Message{Kind: kind, To: m.VM, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Force: force})
+		}
+	}
+	c.countVote(c.disk, true)
+}
+
+func (c *Core) countVote(disk samphirepass.DiskID, granted bool) {
+	if granted {
+		c.votes[disk] = true
+	}
+	n := 0
+	for voter := range c.members.voterSet() {
+		n += count(c.votes[voter])
+	}
+	if n < c.members.Majority() {
+		return
+	}
+	if c.role == RolePreCandidate {
+		c.campaign(RoleCandidate, false)
+		return
+	}
+	c.becomeLeader()
+}
+
+func (c *Core) becomeLeader() {
+	c.role = RoleLeader
+	c.leader = c.vm
+	c.peers = map[samphirepass.VM]*progress{}
+	c.quorumTicks = 0
+	c.transferTo = ""
+	c.refreshMembers()
+	c.log.add(Entry{Index: c.log.last() + 1, Term: c.hard.Term, Kind: EntryEmpty})
+	c.broadcast()
+}
+
+// Propose appends data to the log if this member leads and returns its index and term.
+func (c *Core) Propose(data []byte) (samphirepass.Revision, samphirepass.Term, error) {
+	if c.role != RoleLeader || c.transferTo != "" {
+		return 0, 0, ErrNotLeader
+	}
+	e := Entry{Index: c.log.last() + 1, Term: c.hard.Term, Kind: EntryData, Data: data}
+	c.log.add(e)
+	return e.Index, e.Term, nil
+}
+
+// ProposeMembers appends a membership that differs by at most one voter.
+func (c *Core) ProposeMembers(next Members) error {
+	if c.role != RoleLeader || c.transferTo != "" {
+		return ErrNotLeader
+	}
+	if c.membersIndex > c.commit || !c.committedInTerm() {
+		return ErrPending
+	}
+	if voterChanges(c.members, next) > 1 || next.Voters() == 0 {
+		return ErrTooMany
+	}
+	c.dropReplacedDisks(next)
+	c.log.add(Entry{Index: c.log.last() + 1, Term: c.hard.Term, Kind: EntryMembers, Members: next})
+	c.refreshMembers()
+	c.broadcast()
+	return nil
+}
+
+// dropReplacedDisks forgets what the replaced disks were known to hold.
+func (c *Core) dropReplacedDisks(next Members) {
+	for _, m := range c.members {
+		if n, ok := next.Find(m.VM); ok && n.Disk != m.Disk {
+			delete(c.peers, m.VM)
+		}
+	}
+}
+
+func (c *Core) committedInTerm() bool {
+	t, ok := c.log.term(c.commit)
+	return ok && t == c.hard.Term
+}
+
+// Read asks for a confirmed read under an id of the caller's choice.
+func (c *Core) Read(id uint64) error {
+	if c.role != RoleLeader || !c.committedInTerm() {
+		return ErrNotLeader
+	}
+	c.round++
+	c.reads = append(c.reads, pendingRead{id: id, round: c.round, index: c.commit})
+	c.broadcast()
+	c.confirmReads()
+	return nil
+}
+
+func (c *Core) confirmReads() {
+	for len(c.reads) > 0 && c.confirmed(c.reads[0].round) {
+		c.doneReads = append(c.doneReads, ReadState{ID: c.reads[0].id, Index: c.reads[0].index})
+		c.reads = c.reads[1:]
+	}
+}
+
+func (c *Core) confirmed(round uint64) bool {
+	n := 0
+	for _, m := range c.members {
+		if m.VM == c.vm {
+			n += count(m.Voter)
+			continue
+		}
+		n += count(m.Voter && c.peers[m.VM].round >= round)
+	}
+	return n >= c.members.Majority()
+}
+
+// Transfer hands the leadership to vm, or to the most advanced voter if vm is empty.
+func (c *Core) Transfer(vm samphirepass.VM) {
+	if c.role != RoleLeader {
+		return
+	}
+	for _, m := range c.members {
+		p := c.peers[m.VM]
+		if vm == "" && m.Voter && p != nil && p.active && p.match >= c.commit {
+			vm = m.VM
+		}
+	}
+	if vm == "" {
+		return
+	}
+	c.transferTo = vm
+	c.transferIn = ElectionTicksMin
+	c.maybeTransfer(vm)
+}
+
+func (c *Core) maybeTransfer(vm samphirepass.VM) {
+	p := c.peers[vm]
+	if c.transferTo != vm || p == nil || p.match != c.log.last() {
+		return
+	}
+	c.send(Message{Kind: MessageTimeoutNow, To: vm, Term: c.hard.Term})
+}
+
+// Compact drops the entries up to index, whose effect is in data.
+func (c *Core) Compact(index samphirepass.Revision, data []byte) Snapshot {
+	term, _ := c.log.term(index)
+	s := Snapshot{Index: index, Term: term, Members: c.log.membersAt(index), Data: data}
+	c.log.compact(s)
+	return s
+}
+
+func (c *Core) send(m Message) {
+	m.From, m.FromDisk = c.vm, c.disk
+	c.messages = append(c.messages, m)
+}
+
+// Ready returns the work to do now.
+func (c *Core) Ready() Ready {
+	var r Ready
+	if c.hard != c.savedHard {
+		h := c.hard
+		r.Hard = &h
+	}
+	r.Snapshot = c.installed
+	if c.role == RoleLeader {
+		c.sendNewEntries()
+	}
+	r.Entries = slices.Clone(c.log.slice(c.log.stable+1, c.log.last()))
+	r.Messages = c.messages
+	r.Committed = slices.Clone(c.log.slice(c.applied+1, c.commit))
+	r.Reads = c.doneReads
+	r.LostReads = c.lostReads
+	return r
+}
+
+// sendNewEntries sends what was proposed since the last append.
+func (c *Core) sendNewEntries() {
+	for _, m := range c.members {
+		if p := c.peers[m.VM]; p != nil && p.next <= c.log.last() {
+			c.sendAppend(m.VM, p)
+		}
+	}
+}
+
+// Advance tells that all work of r is done.
+func (c *Core) Advance(r Ready) {
+	if r.Hard != nil {
+		c.savedHard = *r.Hard
+	}
+	if r.Snapshot != nil {
+		c.installed = nil
+	}
+	if n := len(r.Entries); n > 0 {
+		c.log.stable = r.Entries[n-1].Index
+	}
+	c.messages = c.messages[len(r.Messages):]
+	if n := len(r.Committed); n > 0 {
+		c.applied = r.Committed[n-1].Index
+	}
+	c.doneReads = c.doneReads[len(r.Reads):]
+	c.lostReads = c.lostReads[len(r.LostReads):]
+	if c.role == RoleLeader {
+		c.advanceCommit()
+	}
+}
+
+// StableTail returns the entries after the last snapshot that the disk holds.
+func (c *Core) StableTail() []Entry {
+	return slices.Clone(c.log.slice(c.log.snapshot.Index+1, c.log.stable))
+}
--- /dev/null
+++ b/storage.go
@@ -0,0 +1,27 @@
+package samphirepass
+
+import "io"
+
+// File is one open file of a data folder.
+type File interface {
+	io.Writer
+	io.Closer
+	// Sync returns once everything written is on stable storage.
+	Sync() error
+	// Truncate sets the length in bytes.
+	Truncate(size int64) error
+}
+
+// Files is a data folder; names are relative and hold no separators.
+type Files interface {
+	// Append opens name for appending and creates it if needed.
+	Append(name string) (File, error)
+	// Read returns the whole content of name.
+	Read(name string) ([]byte, error)
+	// List returns all names in order.
+	List() ([]string, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncFolder makes created, renamed and removed names last.
+	SyncFolder() error
+}
