scenario: Drive real processes through a small test language

Found by printing the first refusal: a leaf's lanes were shared out before the entry had its seat, and stayed at 0 until the next refresh, 500 ms later. Ruled out: late leaves (no shard had answered), the deadline (250 ms). Change: lanes follow the version of the seats at each use.

--- a/bench/tally.go
+++ b/bench/tally.go
@@ -34,6 +34,7 @@
 	answered float64
 	total    float64
 	firstBad error
+	refusal  error
 }
 
 // NewTally returns an empty tally.
@@ -57,6 +58,9 @@
 		}
 	case err != nil:
 		t.figures.Refused++
+		if t.refusal == nil {
+			t.refusal = err
+		}
 	case a.Whole:
 		t.figures.Whole++
 		t.answered++
@@ -89,3 +93,10 @@
 	defer t.mu.Unlock()
 	return t.firstBad
 }
+
+// FirstRefusal returns why the first refused request was refused.
+func (t *Tally) FirstRefusal() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refusal
+}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open data folder: %w", err)
 	}
-	c := &Control{cfg: cfg, log: log, peers: &peer.Pool{}, metrics: platform.NewMetrics()}
+	c := &Control{cfg: cfg, log: log, peers: &peer.Pool{From: cfg.PeerIP()}, metrics: platform.NewMetrics()}
 	c.node = control.NewNode(control.Options{
 		VM: cfg.VM, Address: cfg.Peer, Members: cfg.Members(), Seats: cfg.EntrySeats, Files: folder,
 		Clock: samphirepass.SystemClock{}, Peers: c.peers, SnapshotEntries: cfg.SnapshotEntries, Log: log.For("control").Infof,
@@ -47,7 +47,7 @@
 	c.peerWS = peer.NewServer(handlers)
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.Path, c.peerWS)
-	if c.peerHTTP, err = platform.Listen(cfg.Peer, peerMux); err != nil {
+	if c.peerHTTP, err = platform.Listen(cfg.PeerListen, peerMux); err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	if c.api, err = platform.Listen(cfg.API, c.handler()); err != nil {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -55,7 +55,7 @@
 	clock := samphirepass.SystemClock{}
 	e := &Entry{
 		cfg: cfg, log: log, board: &blackboard.Board{}, registry: leaf.NewRegistry(clock),
-		metrics: platform.NewMetrics(), peers: &peer.Pool{},
+		metrics: platform.NewMetrics(), peers: &peer.Pool{From: cfg.PeerIP()},
 	}
 	e.client = control.NewClient(cfg.Members(), e.peers)
 	o := entry.Options{
@@ -64,7 +64,7 @@
 	}
 	e.syncer = entry.NewSyncer(o)
 	e.relay = entry.NewRelay(o, e.registry)
-	e.book = leaf.NewBook(clock, e.share)
+	e.book = leaf.NewBook(clock, seatShares{vm: cfg.VM, board: e.board})
 	e.warmer = leaf.NewWarmer(e.registry, e.book, clock)
 	set := policySet(cfg.Policy, clock)
 	planner := leaf.NewPlanner(e.registry, clock)
@@ -83,16 +83,28 @@
 	return policy.Measured(clock)
 }
 
-// share returns how many connections this entry may hold to a leaf; without a seat it is none.
-func (e *Entry) share(a samphirepass.Announcement) int {
-	cfg := e.board.Config.Value()
-	seat, ok := cfg.Seat(e.cfg.VM)
+// seatShares shares out connections by the seats on the blackboard.
+type seatShares struct {
+	vm    samphirepass.VM
+	board *blackboard.Board
+}
+
+// Share returns how many connections this entry may hold to a leaf; without a seat it is none.
+func (s seatShares) Share(a samphirepass.Announcement) int {
+	cfg := s.board.Config.Value()
+	seat, ok := cfg.Seat(s.vm)
 	if !ok {
 		return 0
 	}
 	return leaf.Share(a, seat.Number, cfg.SeatCount)
 }
 
+// Version returns the version of the configuration.
+func (s seatShares) Version() uint64 {
+	_, version := s.board.Config.Get()
+	return version
+}
+
 func (e *Entry) listen() error {
 	handlers := peer.NewHandlers()
 	e.relay.Register(handlers)
@@ -100,7 +112,7 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.Path, e.peerWS)
 	var err error
-	if e.peerHTTP, err = platform.Listen(e.cfg.Peer, peerMux); err != nil {
+	if e.peerHTTP, err = platform.Listen(e.cfg.PeerListen, peerMux); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	if e.api, err = platform.Listen(e.cfg.API, e.handler()); err != nil {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -87,7 +87,7 @@
 		return err
 	}
 	cfg := settings.File{
-		Role: settings.RoleControl, VM: "control-1", DataCentre: d.workload.DataCentres[0], API: free[0], Peer: free[1],
+		Role: settings.RoleControl, VM: "control-1", DataCentre: d.workload.DataCentres[0], API: free[0], Peer: free[1], PeerListen: free[1],
 		Control: []settings.ControlMember{{VM: "control-1", Address: free[1]}}, DataFolder: d.folder, EntrySeats: entries,
 		Policy: settings.PolicyMeasured,
 	}
@@ -98,7 +98,7 @@
 	d.goRun(ctx, c.Run)
 	for i := range entries {
 		cfg.Role, cfg.VM = settings.RoleEntry, samphirepass.VM(fmt.Sprintf("entry-%d", i+1))
-		cfg.API, cfg.Peer = free[2+2*i], free[3+2*i]
+		cfg.API, cfg.Peer, cfg.PeerListen = free[2+2*i], free[3+2*i], free[3+2*i]
 		e, err := daemon.NewEntry(cfg, log)
 		if err != nil {
 			return fmt.Errorf("start entry: %w", err)
@@ -212,6 +212,9 @@
 	if first > 0 {
 		f.ExtraLoadPercent = samphirepass.Percent(100 * (all - first) / first)
 	}
+	if refusal := tally.FirstRefusal(); refusal != nil {
+		fmt.Fprintln(os.Stderr, "first refusal:", refusal)
+	}
 	if wrong := tally.FirstWrong(); wrong != nil {
 		return f, eris.Wrap(wrong, "wrong answer")
 	}
--- a/leaf/book.go
+++ b/leaf/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"samphirepass"
 )
@@ -19,6 +20,8 @@
 type target struct {
 	address string
 	lanes   *lanes
+	// shared is the version of the seats that the lanes were shared out by.
+	shared atomic.Uint64
 
 	mu           sync.Mutex
 	inFlight     int
@@ -31,23 +34,39 @@
 	failedAt     samphirepass.Millis
 }
 
+// Shares tells how many connections this entry may hold.
+type Shares interface {
+	// Share returns the number of connections to a leaf.
+	Share(a samphirepass.Announcement) int
+	// Version changes whenever shares may have changed.
+	Version() uint64
+}
+
 // Book keeps what this entry measured of each leaf, and its connections; it is safe for concurrent use.
 type Book struct {
-	clock samphirepass.Clock
-	// share returns the number of connections that this entry may hold to a leaf.
-	share func(samphirepass.Announcement) int
+	clock  samphirepass.Clock
+	shares Shares
 
 	mu      sync.RWMutex
 	targets map[samphirepass.Leaf]*target
 }
 
 // NewBook returns an empty book.
-func NewBook(clock samphirepass.Clock, share func(samphirepass.Announcement) int) *Book {
-	return &Book{clock: clock, share: share, targets: map[samphirepass.Leaf]*target{}}
+func NewBook(clock samphirepass.Clock, shares Shares) *Book {
+	return &Book{clock: clock, shares: shares, targets: map[samphirepass.Leaf]*target{}}
 }
 
-// target returns the record of a leaf; a leaf that moved to another address starts anew.
+// target returns the record of a leaf, its lanes shared out by the present seats.
 func (b *Book) target(a samphirepass.Announcement) *target {
+	t := b.find(a)
+	if version := b.shares.Version(); t.shared.Swap(version) != version {
+		t.lanes.setShare(b.shares.Share(a))
+	}
+	return t
+}
+
+// find returns the record of a leaf; a leaf that moved to another address starts anew.
+func (b *Book) find(a samphirepass.Announcement) *target {
 	b.mu.RLock()
 	t := b.targets[a.Leaf]
 	b.mu.RUnlock()
@@ -63,7 +82,8 @@
 		t.lanes.setShare(0)
 	}
 	t = &target{address: a.Address, lanes: &lanes{clock: b.clock}}
-	t.lanes.setShare(b.share(a))
+	t.lanes.setShare(b.shares.Share(a))
+	t.shared.Store(b.shares.Version())
 	b.targets[a.Leaf] = t
 	return t
 }
@@ -73,7 +93,7 @@
 	there := make(map[samphirepass.Leaf]bool, len(known))
 	for _, k := range known {
 		there[k.Leaf] = true
-		b.target(k.Announcement).lanes.setShare(b.share(k.Announcement))
+		b.target(k.Announcement).lanes.setShare(b.shares.Share(k.Announcement))
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/leaf/lane.go
+++ b/leaf/lane.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"samphirepass"
 )
 
@@ -172,7 +174,7 @@
 		return 0
 	}
 	share := a.Connections / seats
-	turn := (uint64(seat) + content(samphirepass.Announcement{Leaf: a.Leaf})) % uint64(seats)
+	turn := (uint64(seat) + xxhash.Sum64String(string(a.Leaf))) % uint64(seats)
 	if int(turn) < a.Connections%seats {
 		share++
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -33,8 +35,14 @@
 }
 
 // NewClient returns a client of the process at address, an IP number with a port.
-func NewClient(address string) *Client {
-	return &Client{address: address, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+// Connections start from the IP number from, or from any if it is not valid.
+func NewClient(address string, from netip.Addr) *Client {
+	dialer := &net.Dialer{}
+	if from.IsValid() && !from.IsUnspecified() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(from, 0))
+	}
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}
+	return &Client{address: address, http: &http.Client{Transport: transport}}
 }
 
 // Address returns the address of the other process.
@@ -144,6 +152,9 @@
 
 // Pool keeps one client for each address and is safe for concurrent use; its zero value is ready.
 type Pool struct {
+	// From is the IP number that connections start from, if it is valid.
+	From netip.Addr
+
 	mu      sync.Mutex
 	clients map[string]*Client
 }
@@ -157,7 +168,7 @@
 	}
 	c := p.clients[address]
 	if c == nil {
-		c = NewClient(address)
+		c = NewClient(address, p.From)
 		p.clients[address] = c
 	}
 	return c
--- /dev/null
+++ b/scenario/proof_test.go
@@ -0,0 +1,39 @@
+package scenario_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"samphirepass/shell"
+)
+
+// daemonVariable makes the test binary act as the samphirepass command.
+const daemonVariable = "SAMPHIREPASS_SCENARIO_DAEMON"
+
+type systemKey struct{}
+
+func TestMain(m *testing.M) {
+	if os.Getenv(daemonVariable) != "" {
+		os.Exit(shell.Main(os.Args[1:]))
+	}
+	testscript.Main(m, map[string]func(){"samphirepass": func() { os.Exit(shell.Main(os.Args[1:])) }})
+}
+
+// script runs one file of testdata against a system of its own.
+func script(t *testing.T, name string) {
+	t.Helper()
+	testscript.Run(t, testscript.Params{
+		Files: []string{"testdata/" + name + ".txtar"},
+		Cmds:  commands(),
+		Setup: func(env *testscript.Env) error {
+			s := newSystem(env.WorkDir, env.Vars)
+			env.Values[systemKey{}] = s
+			env.Defer(s.close)
+			return nil
+		},
+	})
+}
+
+func TestProofWholePath(t *testing.T) { script(t, "whole-path") }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
 
 	"samphirepass"
@@ -41,8 +42,10 @@
 	// API is where callers, operators, leaves and the platform reach the process.
 	API string `json:"api" validate:"required,ip_port"`
 	// Peer is where the other processes of the system reach it.
-	Peer    string          `json:"peer" validate:"required,ip_port"`
-	Control []ControlMember `json:"control" validate:"required,min=1,max=9,unique=VM,dive"`
+	Peer string `json:"peer" validate:"required,ip_port"`
+	// PeerListen is where to listen for them, if that is another address than Peer; connections to peers start from its IP number.
+	PeerListen string          `json:"peer-listen,omitempty" validate:"omitempty,ip_port"`
+	Control    []ControlMember `json:"control" validate:"required,min=1,max=9,unique=VM,dive"`
 	// DataFolder holds the durable state of a control VM.
 	DataFolder string `json:"data-folder,omitempty" validate:"required_if=Role control,omitempty,min=1,max=4096"`
 	// EntrySeats is the number of entry VMs that share the leaves' connections.
@@ -80,6 +83,9 @@
 	if f.Policy == "" {
 		f.Policy = PolicyMeasured
 	}
+	if f.PeerListen == "" {
+		f.PeerListen = f.Peer
+	}
 	return f, nil
 }
 
@@ -93,6 +99,13 @@
 	return false
 }
 
+// PeerIP returns the IP number that connections to peers start from.
+func (f File) PeerIP() netip.Addr {
+	// The address has been checked; a zero number lets the machine choose.
+	a, _ := netip.ParseAddrPort(f.PeerListen)
+	return a.Addr()
+}
+
 // Members returns the control members.
 func (f File) Members() []quorum.Member {
 	out := make([]quorum.Member, len(f.Control))
--- a/cmd/samphirepass/operator.go
+++ b/shell/operator.go
@@ -1,4 +1,4 @@
-package main
+package shell
 
 import (
 	"context"
--- /dev/null
+++ b/shell/shell.go
@@ -0,0 +1,157 @@
+package shell
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"samphirepass/daemon"
+	"samphirepass/demo"
+	"samphirepass/logs"
+	"samphirepass/settings"
+)
+
+// Exit statuses.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// options are the subcommands.
+type options struct {
+	Entry    entryCommand    `command:"entry" description:"Run an entry VM's process."`
+	Control  controlCommand  `command:"control" description:"Run a control VM's process."`
+	Check    checkCommand    `command:"check" description:"Check a settings file and list every fault."`
+	Demo     demoCommand     `command:"demo" description:"Run all roles in one process under a bounded load."`
+	Operator operatorCommand `command:"operator" description:"Read and change resources." subcommands-optional:"false"`
+}
+
+// Main runs the command that args name and returns the exit status.
+func Main(args []string) int {
+	var o options
+	_, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
+	var flagError *flags.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
+		fmt.Println(err)
+	case errors.As(err, &flagError):
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	default:
+		fmt.Fprintln(os.Stderr, "samphirepass:", err)
+		return exitFailure
+	}
+	return 0
+}
+
+// untilSignal returns a context that ends at SIGTERM or SIGINT.
+func untilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+// readSettings reads a file that must be for the given role.
+func readSettings(path string, role settings.Role) (settings.File, error) {
+	f, err := settings.Read(path)
+	if err != nil {
+		return f, err
+	}
+	if f.Role != role {
+		return f, fmt.Errorf("settings %s: role: is %q (allowed: %s)", path, f.Role, role)
+	}
+	return f, nil
+}
+
+type entryCommand struct {
+	Settings string `long:"settings" required:"true" description:"The settings file."`
+}
+
+// Execute runs an entry until it is told to stop.
+func (c *entryCommand) Execute([]string) error {
+	cfg, err := readSettings(c.Settings, settings.RoleEntry)
+	if err != nil {
+		return err
+	}
+	e, err := daemon.NewEntry(cfg, logs.New(string(cfg.VM)))
+	if err != nil {
+		return fmt.Errorf("start entry: %w", err)
+	}
+	ctx, cancel := untilSignal()
+	defer cancel()
+	return e.Run(ctx)
+}
+
+type controlCommand struct {
+	Settings string `long:"settings" required:"true" description:"The settings file."`
+}
+
+// Execute runs a control member until it is told to stop.
+func (c *controlCommand) Execute([]string) error {
+	cfg, err := readSettings(c.Settings, settings.RoleControl)
+	if err != nil {
+		return err
+	}
+	m, err := daemon.NewControl(cfg, logs.New(string(cfg.VM)))
+	if err != nil {
+		return fmt.Errorf("start control: %w", err)
+	}
+	ctx, cancel := untilSignal()
+	defer cancel()
+	return m.Run(ctx)
+}
+
+type checkCommand struct {
+	Args struct {
+		File string `positional-arg-name:"FILE" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute checks a settings file without starting anything.
+func (c *checkCommand) Execute([]string) error {
+	if _, err := settings.Read(c.Args.File); err != nil {
+		return err
+	}
+	fmt.Println("settings are valid")
+	return nil
+}
+
+type demoCommand struct {
+	Requests    int  `long:"requests" default:"2000" description:"The number of queries."`
+	KeepRunning bool `long:"keep-running" description:"Leave everything up until interrupted."`
+}
+
+// Execute runs the demo; its last line on standard output is one JSON object.
+func (c *demoCommand) Execute([]string) error {
+	if c.Requests < 1 {
+		return eris.New("--requests: is out of range (allowed: at least 1)")
+	}
+	d, err := demo.Start(logs.Logger{})
+	if err != nil {
+		return fmt.Errorf("start demo: %w", err)
+	}
+	defer d.Stop()
+	ctx, cancel := untilSignal()
+	defer cancel()
+	figures, err := d.Load(ctx, c.Requests)
+	if c.KeepRunning {
+		for _, e := range d.Entries {
+			fmt.Println("entry on http://" + e)
+		}
+	}
+	line, encodeErr := json.Marshal(figures)
+	if encodeErr != nil {
+		return fmt.Errorf("encode figures: %w", encodeErr)
+	}
+	fmt.Println(string(line))
+	if c.KeepRunning {
+		<-ctx.Done()
+	}
+	return err
+}
--- a/standin/announce.go
+++ b/standin/announce.go
@@ -22,8 +22,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sequence++
+	address := l.Address()
+	if l.o.Advertise != "" {
+		address = l.o.Advertise
+	}
 	return samphirepass.Announcement{
-		Leaf: l.o.Leaf, Service: l.o.Service, Address: l.Address(), DataCentre: l.o.DataCentre,
+		Leaf: l.o.Leaf, Service: l.o.Service, Address: address, DataCentre: l.o.DataCentre,
 		Incarnation: l.incarnation, Sequence: l.sequence, State: l.state, Holdings: l.holdings,
 		Slots: l.o.Slots, Connections: l.o.Connections,
 	}
--- a/standin/options.go
+++ b/standin/options.go
@@ -10,6 +10,8 @@
 	Holdings   []samphirepass.Holding
 	// Address is where to listen; empty means a free loopback port.
 	Address string
+	// Advertise is the address to announce, if it is another.
+	Advertise string
 	// Entries are the API addresses to announce to; empty means none.
 	Entries []string
 	// AnnounceMs is the time between announcements, 1000 if 0.
