scenario: Prove state, answers, runs and stops under real failures

Ruled out: leaves that stopped announcing (the other entries knew all 9), the plan's cache (100 ms). Change: an entry is ready once another entry has told it of the leaves, or 2 s after its start. The check of voters now asks for the present disk of every member: TestProofLostDisk took a dead VM's old disk for a repaired one. Conclusion: fixed; repeats of the whole set are still to run.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -152,6 +152,9 @@
 	if _, ok := e.board.Config.Value().Seat(e.cfg.VM); !ok {
 		return "no seat"
 	}
+	if !e.relay.Acquainted() {
+		return "leaves not yet known"
+	}
 	return ""
 }
 
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -23,6 +23,8 @@
 	exchangeEveryMs samphirepass.Millis = 400
 	// exchangeTimeoutMs bounds one exchange.
 	exchangeTimeoutMs samphirepass.Millis = 800
+	// learnMs is longer than the time between two announcements of a leaf.
+	learnMs samphirepass.Millis = 2000
 	// spreadTimeoutMs bounds the passing on of one announcement.
 	spreadTimeoutMs samphirepass.Millis = 500
 )
@@ -55,11 +57,14 @@
 
 	mu   sync.Mutex
 	busy map[samphirepass.VM]bool
+	// began is when the relay started, exchanged whether another entry has told all it knows.
+	began     samphirepass.Millis
+	exchanged bool
 }
 
 // NewRelay returns a relay of what registry holds.
 func NewRelay(o Options, registry *leaf.Registry) *Relay {
-	return &Relay{o: o, registry: registry, busy: map[samphirepass.VM]bool{}}
+	return &Relay{o: o, registry: registry, busy: map[samphirepass.VM]bool{}, began: o.Clock.Now()}
 }
 
 // Register adds the requests that other entries send to h.
@@ -97,6 +102,15 @@
 	return true
 }
 
+// Acquainted reports whether the entry has had the means to learn of the leaves: from another entry,
+// or, where none knows any, from the leaves themselves within learnMs of the start.
+func (r *Relay) Acquainted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	told := r.exchanged && len(r.registry.Table()) > 0
+	return told || r.o.Clock.Now()-r.began >= learnMs
+}
+
 func (r *Relay) end(vm samphirepass.VM) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -127,6 +141,9 @@
 	for _, h := range reply.Table {
 		r.registry.Hear(h.Announcement, h.AgeMs, false)
 	}
+	r.mu.Lock()
+	r.exchanged = true
+	r.mu.Unlock()
 	if reply.Sync != nil {
 		r.o.Board.Config.Update(func(cfg blackboard.Config) (blackboard.Config, bool) { return Apply(cfg, have, *reply.Sync) })
 	}
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -43,11 +45,36 @@
 		"signal": with(cmdSignal), "start": with(cmdStart), "exits": with(cmdExits), "wipe": with(cmdWipe),
 		"copy": with(cmdCopy), "isolate": with(cmdIsolate), "query": with(cmdQuery), "run": with(cmdRun),
 		"ran": with(cmdRan), "state": with(cmdState), "fault": with(cmdFault), "leaf": with(cmdLeaf),
-		"load": with(cmdLoad), "change": with(cmdChange), "pause": with(cmdPause), "inforce": with(cmdInForce),
-		"commits": with(cmdCommits), "share": with(cmdShare),
+		"load": with(cmdLoad), "background": with(cmdBackground), "change": with(cmdChange), "pause": with(cmdPause), "inforce": with(cmdInForce),
+		"commits": with(cmdCommits), "share": with(cmdShare), "collect": with(cmdCollect),
 	}
 }
 
+// cmdBackground: background COMMAND ARGS... starts a command; collect gathers its error.
+func cmdBackground(s *system, args []string) error {
+	f := map[string]func(*system, []string) error{"run": cmdRun, "commits": cmdCommits, "query": cmdQuery}[args[0]]
+	s.background.Add(1)
+	go func() {
+		defer s.background.Done()
+		if err := f(s, args[1:]); err != nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.failures = append(s.failures, err)
+		}
+	}()
+	return nil
+}
+
+// cmdCollect: collect returns once all background commands have ended, with their errors.
+func cmdCollect(s *system, _ []string) error {
+	s.background.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := errors.Join(s.failures...)
+	s.failures = nil
+	return err
+}
+
 // options reads key=value arguments.
 func options(args []string) map[string]string {
 	out := map[string]string{}
@@ -160,10 +187,7 @@
 		return await("leaves", func() bool { return s.covered(args[1], samphirepass.Service(args[2]), n) })
 	case "voters":
 		n, _ := strconv.Atoi(args[1])
-		return await("voters", func() bool {
-			leader, ok := s.leader()
-			return ok && leader.Formed && leader.Members.Voters() == n
-		})
+		return await("voters", func() bool { return s.voters() == n })
 	default:
 		return await("a leader", func() bool { _, ok := s.leader(); return ok })
 	}
@@ -236,12 +260,17 @@
 	return bench.Client{Address: s.processes[entry].settings.API, HTTP: s.http}
 }
 
-// cmdQuery: query ENTRY SERVICE whole|partial|CODE [snapshot=N] [missing=N] sends one query and checks its answer.
+// cmdQuery: query ENTRY SERVICE whole|partial|CODE [snapshot=N] [missing=N] [caller=NAME] sends one query and checks its answer.
 func cmdQuery(s *system, args []string) error {
+	o := options(args[3:])
+	from := samphirepass.Caller(marshal)
+	if o["caller"] != "" {
+		from = samphirepass.Caller(o["caller"])
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), awaitTimeout)
 	defer cancel()
 	query := json.RawMessage(fmt.Sprintf(`{"n":%d}`, time.Now().UnixNano()))
-	a, err := s.bench(args[0]).Query(ctx, samphirepass.Service(args[1]), samphirepass.Query{Caller: marshal, Query: query})
+	a, err := s.bench(args[0]).Query(ctx, samphirepass.Service(args[1]), samphirepass.Query{Caller: from, Query: query})
 	got := "partial"
 	if r := samphirepass.AsRefusal(err); r != nil {
 		got = string(r.Code)
@@ -255,10 +284,9 @@
 			return wrong
 		}
 	}
-	if got != args[2] {
+	if !slices.Contains(strings.Split(args[2], "|"), got) {
 		return fmt.Errorf("got %s, want %s: %w", got, args[2], err)
 	}
-	o := options(args[3:])
 	if n := number(o, "missing", len(a.Coverage.Missing)); n != len(a.Coverage.Missing) {
 		return fmt.Errorf("missing %v, want %d", a.Coverage.Missing, n)
 	}
@@ -269,6 +297,8 @@
 }
 
 func (s *system) key(name string) samphirepass.RunKey {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.keys[name] == "" {
 		s.keys[name] = samphirepass.RunKey(uuid.Must(uuid.NewV7()).String())
 	}
@@ -296,10 +326,8 @@
 	} else if err != nil {
 		got = "connection-lost"
 	}
-	for _, want := range strings.Split(args[3], "|") {
-		if got == want {
-			return nil
-		}
+	if slices.Contains(strings.Split(args[3], "|"), got) {
+		return nil
 	}
 	return fmt.Errorf("got %s, want %s: %w", got, args[3], err)
 }
@@ -379,12 +407,20 @@
 	return nil
 }
 
-// cmdLeaf: leaf NAME drain|stop|silence-open|cut|pass|hold SNAPSHOT:SHARDS:SHARD,... acts on leaves.
+// cmdLeaf: leaf NAME drain|drain-to ENTRY|forget-drain|idle-after-drain|stop|silence-open|hold SNAPSHOT:SHARDS:SHARD,... acts on leaves.
 func cmdLeaf(s *system, args []string) error {
 	return s.eachLeaf(args[0], func(l *standin.Leaf) error {
 		switch args[1] {
 		case "drain":
-			go l.Drain(context.Background())
+			l.Drain(context.Background())
+		case "drain-to":
+			return l.DrainTo(context.Background(), s.processes[args[2]].settings.API)
+		case "idle-after-drain":
+			if n := l.Counts().WhileDraining; n > 0 {
+				return fmt.Errorf("leaf %s got %d requests after it announced that it drains", l.Name(), n)
+			}
+		case "forget-drain":
+			l.ForgetDrainCount()
 		case "stop":
 			l.Stop()
 		case "silence-open":
--- a/scenario/proof_test.go
+++ b/scenario/proof_test.go
@@ -37,3 +37,33 @@
 }
 
 func TestProofWholePath(t *testing.T) { script(t, "whole-path") }
+
+func TestProofSilentControl(t *testing.T) { script(t, "silent-control") }
+
+func TestProofLostDisk(t *testing.T) { script(t, "lost-disk") }
+
+func TestProofOldDisk(t *testing.T) { script(t, "old-disk") }
+
+func TestProofRestartAll(t *testing.T) { script(t, "restart-all") }
+
+func TestProofNoMajority(t *testing.T) { script(t, "no-majority") }
+
+func TestProofCutEntry(t *testing.T) { script(t, "cut-entry") }
+
+func TestProofFrozenEntry(t *testing.T) { script(t, "frozen-entry") }
+
+func TestProofDrain(t *testing.T) { script(t, "drain") }
+
+func TestProofGracefulStop(t *testing.T) { script(t, "graceful-stop") }
+
+func TestProofAtMostOnce(t *testing.T) { script(t, "at-most-once") }
+
+func TestProofSilentLeafRun(t *testing.T) { script(t, "silent-leaf-run") }
+
+func TestProofTrueAnswers(t *testing.T) { script(t, "true-answers") }
+
+func TestProofUnannouncedShard(t *testing.T) { script(t, "unannounced-shard") }
+
+func TestProofRepartition(t *testing.T) { script(t, "repartition") }
+
+func TestProofSilentConnections(t *testing.T) { script(t, "silent-connections") }
--- a/scenario/system_test.go
+++ b/scenario/system_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -58,6 +59,11 @@
 	keys      map[string]samphirepass.RunKey
 	load      *load
 	http      *http.Client
+
+	background sync.WaitGroup
+
+	mu       sync.Mutex
+	failures []error
 }
 
 func newSystem(folder string, env []string) *system {
@@ -256,6 +262,22 @@
 	return best, best.VM != ""
 }
 
+// voters counts the running control processes whose present disk votes and that follow the leader.
+func (s *system) voters() int {
+	leader, ok := s.leader()
+	if !ok || !leader.Formed {
+		return 0
+	}
+	n := 0
+	for _, status := range s.controlStatuses() {
+		m, _ := leader.Members.Find(status.VM)
+		if m.Voter && m.Disk == status.Disk && status.Leader == leader.VM {
+			n++
+		}
+	}
+	return n
+}
+
 // resolve turns leader and follower into names of processes.
 func (s *system) resolve(name string) (string, error) {
 	if name != "leader" && name != "follower" {
--- a/standin/announce.go
+++ b/standin/announce.go
@@ -34,7 +34,7 @@
 }
 
 func (l *Leaf) announceLoop(ctx context.Context) {
-	if len(l.o.Entries) == 0 {
+	if l.entryCount() == 0 {
 		return
 	}
 	t := time.NewTicker(l.o.AnnounceMs.Duration())
@@ -51,17 +51,29 @@
 
 // announceOnce announces to the next entry, and to those after it until one takes it.
 func (l *Leaf) announceOnce(ctx context.Context) {
-	for range l.o.Entries {
-		l.mu.Lock()
-		l.nextEntry = (l.nextEntry + 1) % len(l.o.Entries)
-		to := l.o.Entries[l.nextEntry]
-		l.mu.Unlock()
-		if Announce(ctx, to, l.Announcement()) == nil {
+	for range l.entryCount() {
+		if Announce(ctx, l.turn(), l.Announcement()) == nil {
 			return
 		}
 	}
 }
 
+func (l *Leaf) entryCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.o.Entries)
+}
+
+func (l *Leaf) turn() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.o.Entries) == 0 {
+		return ""
+	}
+	l.nextEntry = (l.nextEntry + 1) % len(l.o.Entries)
+	return l.o.Entries[l.nextEntry]
+}
+
 // Announce sends one announcement to the entry at an API address.
 func Announce(ctx context.Context, entry string, a samphirepass.Announcement) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeoutMs.Duration())
--- a/standin/leaf.go
+++ b/standin/leaf.go
@@ -132,11 +132,25 @@
 	l.mu.Lock()
 	l.state = samphirepass.LeafDraining
 	l.mu.Unlock()
-	for range l.o.Entries {
+	for range l.entryCount() {
 		l.announceOnce(ctx)
 	}
 }
 
+// DrainTo announces to one entry only that the leaf leaves, and to no other after it.
+func (l *Leaf) DrainTo(ctx context.Context, entry string) error {
+	l.mu.Lock()
+	l.state = samphirepass.LeafDraining
+	l.o.Entries = nil
+	l.mu.Unlock()
+	return Announce(ctx, entry, l.Announcement())
+}
+
+// ForgetDrainCount starts the count of requests after the drain anew.
+func (l *Leaf) ForgetDrainCount() {
+	l.whileDraining.Store(0)
+}
+
 // Stop closes the listener and all connections and announces nothing more.
 func (l *Leaf) Stop() {
 	l.stop()
