--- /dev/null
+++ b/bench/report.go
@@ -0,0 +1,83 @@
+package bench
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"samphirepass/policy"
+)
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+	barWidth   = 12 * vg.Millimeter / 2
+)
+
+// Report compares every case on the given seeds and writes a table and plots into the folder dir.
+func Report(dir string, seeds []uint64, progress func(Comparison)) error {
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return fmt.Errorf("make report folder: %w", err)
+	}
+	var all []Comparison
+	for _, c := range Cases() {
+		for _, seed := range seeds {
+			result, _, err := Compare(c, policy.NameMeasured, seed)
+			if err != nil {
+				return fmt.Errorf("case %s seed %d: %w", c.Name, seed, err)
+			}
+			progress(result)
+			all = append(all, result)
+		}
+	}
+	if err := os.WriteFile(filepath.Join(dir, "report.md"), []byte(table(all)), 0o600); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	p99 := func(c Comparison) float64 { return c.P99Ratio }
+	if err := bars(filepath.Join(dir, "p99-ratio.png"), "p99 of whole answers over the baseline's", all, p99); err != nil {
+		return err
+	}
+	gain := func(c Comparison) float64 { return c.Coverage - c.CoverageBaseline }
+	return bars(filepath.Join(dir, "coverage-gain.png"), "coverage less the baseline's", all, gain)
+}
+
+func table(all []Comparison) string {
+	var b strings.Builder
+	b.WriteString("| case | seed | p50 ratio | p99 ratio | coverage (baseline) | first class goodput (baseline) | extra load % (baseline) | over limit | wrong |\n")
+	b.WriteString("| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, c := range all {
+		fmt.Fprintf(&b, "| %s | %d | %.2f | %.2f | %.4f (%.4f) | %.3f (%.3f) | %.2f (%.2f) | %d | %d |\n",
+			c.Case, c.Seed, c.P50Ratio, c.P99Ratio, c.Coverage, c.CoverageBaseline, c.Goodput, c.GoodputBaseline,
+			c.ExtraLoadPercent, c.ExtraLoadBaseline, c.OverLimit, c.Wrong)
+	}
+	return b.String()
+}
+
+// bars draws one bar for each comparison.
+func bars(path, title string, all []Comparison, value func(Comparison) float64) error {
+	p := plot.New()
+	p.Title.Text = title
+	values := make(plotter.Values, len(all))
+	names := make([]string, len(all))
+	for i, c := range all {
+		values[i] = value(c)
+		names[i] = fmt.Sprintf("%s/%d", c.Case, c.Seed)
+	}
+	chart, err := plotter.NewBarChart(values, barWidth)
+	if err != nil {
+		return fmt.Errorf("draw %s: %w", title, err)
+	}
+	p.Add(chart, plotter.NewGrid())
+	p.NominalX(names...)
+	p.X.Tick.Label.Rotation = 0.9
+	p.X.Tick.Label.XAlign = -1
+	if err := p.Save(plotWidth, plotHeight, path); err != nil {
+		return fmt.Errorf("save plot: %w", err)
+	}
+	return nil
+}
--- a/bench/tally.go
+++ b/bench/tally.go
@@ -10,13 +10,14 @@
 
 // Figures sum up a load.
 type Figures struct {
-	Requests int                 `json:"requests"`
-	Whole    int                 `json:"whole"`
-	Partial  int                 `json:"partial"`
-	Refused  int                 `json:"refused"`
-	Wrong    int                 `json:"wrong"`
-	P50Ms    samphirepass.Millis `json:"p50-ms"`
-	P99Ms    samphirepass.Millis `json:"p99-ms"`
+	Requests int `json:"requests"`
+	Whole    int `json:"whole"`
+	Partial  int `json:"partial"`
+	Refused  int `json:"refused"`
+	Wrong    int `json:"wrong"`
+	// P50Ms and P99Ms are the times of whole answers.
+	P50Ms samphirepass.Millis `json:"p50-ms"`
+	P99Ms samphirepass.Millis `json:"p99-ms"`
 	// ExtraLoadPercent is the share of hedges and retries over the first leaf requests.
 	ExtraLoadPercent samphirepass.Percent `json:"extra-load-percent"`
 }
@@ -48,8 +49,6 @@
 	defer t.mu.Unlock()
 	t.figures.Requests++
 	t.total++
-	// A request counts with its time however it ended, so that refusals do not flatter the quantiles.
-	_ = t.times.RecordValue(min(max(int64(took*microsPerMilli), 1), maxMicros))
 	switch {
 	case wrong != nil:
 		t.figures.Wrong++
@@ -62,6 +61,8 @@
 			t.refusal = err
 		}
 	case a.Whole:
+		// The value is within the histogram's range, so this cannot fail.
+		_ = t.times.RecordValue(min(max(int64(took*microsPerMilli), 1), maxMicros))
 		t.figures.Whole++
 		t.answered++
 	default:
@@ -100,3 +101,8 @@
 	defer t.mu.Unlock()
 	return t.refusal
 }
+
+// ExtraLoad returns the hedges and retries as a percentage of the first requests to leaves.
+func ExtraLoad(all, extra int64) samphirepass.Percent {
+	return samphirepass.Percent(100 * float64(extra) / float64(max(all-extra, 1)))
+}
--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"samphirepass/bench"
+	"samphirepass/policy"
+)
+
+// Exit statuses.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+type options struct {
+	List    listCommand    `command:"list" description:"Print the cases and the policies."`
+	Run     runCommand     `command:"run" description:"Run one case under one policy."`
+	Compare compareCommand `command:"compare" description:"Run one case under the baseline and a policy."`
+	Report  reportCommand  `command:"report" description:"Compare all cases and write a table and plots."`
+}
+
+func main() {
+	var o options
+	_, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).Parse()
+	var flagError *flags.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
+		fmt.Println(err)
+	case errors.As(err, &flagError):
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	default:
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(exitFailure)
+	}
+}
+
+func printLine(v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode figures: %w", err)
+	}
+	fmt.Println(string(b))
+	return nil
+}
+
+type listCommand struct{}
+
+// Execute prints the cases and the policies.
+func (*listCommand) Execute([]string) error {
+	for _, c := range bench.Cases() {
+		fmt.Println("case", c.Name)
+	}
+	for _, n := range policy.Names() {
+		fmt.Println("policy", n)
+	}
+	return nil
+}
+
+// choice names a case, a policy and a seed.
+type choice struct {
+	Policy string `long:"policy" default:"measured" choice:"measured" choice:"baseline" choice:"measured-random-choice" choice:"measured-no-hedge" choice:"measured-open-admission" description:"The policy."`
+	Seed   uint64 `long:"seed" default:"1" description:"The seed of arrivals and stragglers."`
+	Args   struct {
+		Case string `positional-arg-name:"CASE" required:"true"`
+	} `positional-args:"true"`
+}
+
+type runCommand struct{ choice }
+
+// Execute runs one case under one policy.
+func (c *runCommand) Execute([]string) error {
+	found, err := bench.Find(bench.CaseName(c.Args.Case))
+	if err != nil {
+		return err
+	}
+	out, err := bench.Run(found, policy.Name(c.Policy), c.Seed)
+	if err != nil {
+		return err
+	}
+	return printLine(out)
+}
+
+type compareCommand struct{ choice }
+
+// Execute runs one case under the baseline and a policy.
+func (c *compareCommand) Execute([]string) error {
+	found, err := bench.Find(bench.CaseName(c.Args.Case))
+	if err != nil {
+		return err
+	}
+	comparison, outcomes, err := bench.Compare(found, policy.Name(c.Policy), c.Seed)
+	if err != nil {
+		return err
+	}
+	for _, o := range outcomes {
+		if err := printLine(o); err != nil {
+			return err
+		}
+	}
+	return printLine(comparison)
+}
+
+type reportCommand struct {
+	Seeds []uint64 `long:"seed" description:"A seed; may be given several times, 1 2 3 if left out."`
+	Args  struct {
+		Folder string `positional-arg-name:"DIR" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute compares all cases.
+func (c *reportCommand) Execute([]string) error {
+	if len(c.Seeds) == 0 {
+		c.Seeds = []uint64{1, 2, 3}
+	}
+	return bench.Report(c.Args.Folder, c.Seeds, func(r bench.Comparison) { _ = printLine(r) })
+}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -66,7 +66,7 @@
 	e.relay = entry.NewRelay(o, e.registry)
 	e.book = leaf.NewBook(clock, seatShares{vm: cfg.VM, board: e.board})
 	e.warmer = leaf.NewWarmer(e.registry, e.book, clock)
-	set := policySet(cfg.Policy, clock)
+	set := policy.Named(cfg.Policy, clock)
 	planner := leaf.NewPlanner(e.registry, clock)
 	gatherer := leaf.NewGatherer(planner, e.book, leaf.NewSender(e.book, clock), cfg.DataCentre, set, clock)
 	e.calls = caller.New(caller.Options{
@@ -76,11 +76,9 @@
 	return e, e.listen()
 }
 
-func policySet(p settings.Policy, clock samphirepass.Clock) policy.Set {
-	if p == settings.PolicyBaseline {
-		return policy.Baseline(clock)
-	}
-	return policy.Measured(clock)
+// LeafRequests returns how many requests to leaves the entry has sent, and how many of them were hedges or retries.
+func (e *Entry) LeafRequests() (all, extra int64) {
+	return e.metrics.LeafRequests()
 }
 
 // seatShares shares out connections by the seats on the blackboard.
--- /dev/null
+++ b/entry/configure_test.go
@@ -0,0 +1,73 @@
+package entry_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"samphirepass"
+	"samphirepass/blackboard"
+	"samphirepass/control"
+	"samphirepass/entry"
+	"samphirepass/ledger"
+)
+
+func caller(name string, at samphirepass.Revision) samphirepass.Resource {
+	return samphirepass.Resource{Kind: samphirepass.KindCaller, Name: name, Revision: at, Spec: json.RawMessage(`{"class":"c"}`)}
+}
+
+func full(at samphirepass.Revision, resources ...samphirepass.Resource) control.SyncReply {
+	return control.SyncReply{Revision: at, Full: true, View: ledger.View{Revision: at, Resources: resources}}
+}
+
+func events(at samphirepass.Revision, list ...samphirepass.ResourceEvent) control.SyncReply {
+	return control.SyncReply{Revision: at, Events: list, View: ledger.View{Revision: at}}
+}
+
+func TestProofConfigurationNeverReverts(t *testing.T) {
+	at5, ok := entry.Apply(blackboard.Config{}, 0, full(5, caller("a", 3), caller("b", 5)))
+	require.True(t, ok)
+	tests := map[string]struct {
+		have  samphirepass.Revision
+		reply control.SyncReply
+		want  []string
+	}{
+		"an older full state":              {reply: full(4, caller("z", 4)), want: []string{"a", "b"}},
+		"the same state":                   {reply: full(5), want: []string{"a", "b"}},
+		"a newer full state":               {reply: full(6, caller("c", 6)), want: []string{"c"}},
+		"events that join on":              {have: 5, reply: events(7, samphirepass.ResourceEvent{Resource: caller("c", 7)}), want: []string{"a", "b", "c"}},
+		"a deletion":                       {have: 5, reply: events(7, samphirepass.ResourceEvent{Resource: caller("a", 7), Deleted: true}), want: []string{"b"}},
+		"events asked for before the last": {have: 3, reply: events(7, samphirepass.ResourceEvent{Resource: caller("c", 7)}), want: []string{"a", "b"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, _ := entry.Apply(at5, tt.have, tt.reply)
+			var names []string
+			for name := range got.Callers {
+				names = append(names, string(name))
+			}
+			require.ElementsMatch(t, tt.want, names)
+			require.GreaterOrEqual(t, got.Revision, at5.Revision)
+		})
+	}
+}
+
+func TestProofRelayedConfigurationIsTheSame(t *testing.T) {
+	from, _ := entry.Apply(blackboard.Config{}, 0, full(5, caller("a", 3)))
+	from, _ = entry.Apply(from, 5, events(6, samphirepass.ResourceEvent{Resource: caller("b", 6)}))
+	from, _ = entry.Apply(from, 6, events(8, samphirepass.ResourceEvent{Resource: caller("a", 8), Deleted: true}))
+	tests := map[string]samphirepass.Revision{"a fresh entry": 0, "one that is behind the events": 3, "one at the first": 5, "one in the middle": 6}
+	for name, have := range tests {
+		t.Run(name, func(t *testing.T) {
+			to, _ := entry.Apply(blackboard.Config{}, 0, full(have, caller("a", 3)))
+			if have == 6 {
+				to, _ = entry.Apply(blackboard.Config{}, 0, full(6, caller("a", 3), caller("b", 6)))
+			}
+			got, ok := entry.Apply(to, to.Revision, entry.ReplyFrom(from, to.Revision))
+			require.True(t, ok)
+			require.Equal(t, from.Resources, got.Resources)
+			require.Equal(t, from.Revision, got.Revision)
+		})
+	}
+}
--- a/policy/budget.go
+++ b/policy/budget.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// budgetBurst is the number of extra attempts that may be saved up.
-	budgetBurst = 20
+	// budgetBurst is the number of extra attempts that may be saved up, beside those that the last query earned.
+	budgetBurst = 8
 	// overloadPauseMs is how long the budget stays closed after a sign of overload.
 	overloadPauseMs samphirepass.Millis = 1000
 )
@@ -23,20 +23,17 @@
 	closedUntil samphirepass.Millis
 }
 
-// NewTokens returns a budget of limit percent that starts with a burst's worth of tokens, or none if limit is 0.
+// NewTokens returns a budget of limit percent with nothing saved up.
 func NewTokens(limit samphirepass.Percent, clock samphirepass.Clock) *Tokens {
-	t := &Tokens{limit: limit, clock: clock}
-	if limit > 0 {
-		t.tokens = budgetBurst / 2
-	}
-	return t
+	return &Tokens{limit: limit, clock: clock}
 }
 
 // Primary earns tokens for n first attempts.
 func (t *Tokens) Primary(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.tokens = min(t.tokens+float64(n)*float64(t.limit)/100, budgetBurst)
+	earned := float64(n) * float64(t.limit) / 100
+	t.tokens = min(t.tokens, budgetBurst) + earned
 }
 
 // Take spends one token, if there is one and the budget is open.
--- a/policy/set.go
+++ b/policy/set.go
@@ -11,8 +11,42 @@
 	NewAdmitter func() samphirepass.Admitter
 }
 
-// Baseline returns the plain decisions: any leaf, no hedges, no limit on admission, a retry where the budget allows.
-func Baseline(clock samphirepass.Clock) Set {
+// Name names a set of decisions.
+type Name string
+
+// The sets of decisions; those after the first two are the measured one with one decision put back to the baseline's.
+const (
+	NameMeasured     Name = "measured"
+	NameBaseline     Name = "baseline"
+	NameRandomChoice Name = "measured-random-choice"
+	NameNoHedge      Name = "measured-no-hedge"
+	NameOpen         Name = "measured-open-admission"
+)
+
+// Names lists every set.
+func Names() []Name {
+	return []Name{NameMeasured, NameBaseline, NameRandomChoice, NameNoHedge, NameOpen}
+}
+
+// Named returns the set of a name, which must be one of Names.
+func Named(name Name, clock samphirepass.Clock) Set {
+	s := measured(clock)
+	plain := baseline(clock)
+	switch name {
+	case NameBaseline:
+		return plain
+	case NameRandomChoice:
+		s.Chooser = plain.Chooser
+	case NameNoHedge:
+		s.NewHedger = plain.NewHedger
+	case NameOpen:
+		s.NewAdmitter = plain.NewAdmitter
+	}
+	return s
+}
+
+// baseline makes the plain decisions: any leaf, no hedges, no limit on admission, a retry where the budget allows.
+func baseline(clock samphirepass.Clock) Set {
 	return Set{
 		Chooser:     Random{},
 		NewHedger:   func() samphirepass.Hedger { return NoHedge{} },
@@ -21,8 +55,8 @@
 	}
 }
 
-// Measured returns the decisions that measurement speaks for.
-func Measured(clock samphirepass.Clock) Set {
+// measured makes the decisions that measurement speaks for.
+func measured(clock samphirepass.Clock) Set {
 	return Set{
 		Chooser:     Scored{},
 		NewHedger:   func() samphirepass.Hedger { return NewQuantile() },
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"samphirepass"
+	"samphirepass/policy"
 	"samphirepass/quorum"
 	"samphirepass/strict"
 )
@@ -19,15 +20,6 @@
 	RoleControl Role = "control"
 )
 
-// Policy names a set of decisions.
-type Policy string
-
-// The sets of decisions.
-const (
-	PolicyMeasured Policy = "measured"
-	PolicyBaseline Policy = "baseline"
-)
-
 // ControlMember is the address of one control VM.
 type ControlMember struct {
 	VM      samphirepass.VM `json:"vm" validate:"required,min=1,max=64"`
@@ -53,7 +45,7 @@
 	// SnapshotEntries is the length of the log at which a snapshot is taken; it may be left out.
 	SnapshotEntries int `json:"snapshot-entries,omitempty" validate:"omitempty,min=10,max=1000000"`
 	// Policy picks the decisions of an entry; left out, it is measured.
-	Policy Policy `json:"policy,omitempty" validate:"omitempty,oneof=measured baseline"`
+	Policy policy.Name `json:"policy,omitempty" validate:"omitempty,oneof=measured baseline measured-random-choice measured-no-hedge measured-open-admission"`
 	// BalancerNoticeMs is how long an entry goes on after it told the balancer that it stops.
 	BalancerNoticeMs samphirepass.Millis `json:"balancer-notice-ms,omitempty" validate:"omitempty,min=0,max=60000"`
 }
@@ -81,7 +73,7 @@
 		return File{}, strict.Faults{{Line: 1, Path: "control", Problem: "does not list this VM with its peer address", Allowed: fmt.Sprintf("an element with vm %q and address %q", f.VM, f.Peer)}}
 	}
 	if f.Policy == "" {
-		f.Policy = PolicyMeasured
+		f.Policy = policy.NameMeasured
 	}
 	if f.PeerListen == "" {
 		f.PeerListen = f.Peer
--- a/shell/shell.go
+++ b/shell/shell.go
@@ -141,7 +141,7 @@
 	defer cancel()
 	figures, err := d.Load(ctx, c.Requests)
 	if c.KeepRunning {
-		for _, e := range d.Entries {
+		for _, e := range d.Entries() {
 			fmt.Println("entry on http://" + e)
 		}
 	}
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -79,6 +79,11 @@
 	}
 }
 
+// SetAll changes the link from all sources.
+func (r *Relay) SetAll(l Link) {
+	r.Set(netip.Addr{}, l)
+}
+
 // SetDelay adds a delay to each piece of data in both directions.
 func (r *Relay) SetDelay(d samphirepass.Millis) {
 	r.mu.Lock()
