--- a/attempt.go
+++ b/attempt.go
@@ -1,6 +1,10 @@
 package samphirepass
 
-import "context"
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+)
 
 // Attempt is one request to one leaf.
 type Attempt struct {
@@ -39,6 +43,8 @@
 	FailureMismatch FailureKind = "mismatch"
 	// FailureNotSent tells that no byte of the request left.
 	FailureNotSent FailureKind = "not-sent"
+	// FailureSilent tells that the connection gave no byte for long while another of the same leaf proved dead.
+	FailureSilent FailureKind = "silent"
 	// FailureLost tells that the connection broke or the time passed before a whole answer came.
 	FailureLost FailureKind = "lost"
 )
@@ -62,6 +68,14 @@
 	return e.Kind == FailureShed || e.Kind == FailureNotHeld || e.Kind == FailureNotSent
 }
 
+// Free reports whether the leaf had no work from the attempt, so that another one is no extra load.
+func (e *AttemptError) Free() bool {
+	return e.Kind == FailureNotSent || e.Kind == FailureSilent
+}
+
+// ErrBeaten is the cause of cancelling an attempt that a later one on the same shard has overtaken.
+var ErrBeaten = eris.New("another attempt answered first")
+
 // Sender sends attempts to leaves and is safe for concurrent use; its errors are of type *AttemptError.
 type Sender interface {
 	Send(ctx context.Context, to Announcement, a Attempt) (Reply, error)
--- a/caller/query.go
+++ b/caller/query.go
@@ -61,7 +61,8 @@
 func (a *API) answer(ctx context.Context, acc accepted, q samphirepass.Query, began samphirepass.Millis) (samphirepass.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, acc.deadline.Duration())
 	defer cancel()
-	leave, err := a.admitter(acc.service).Admit(ctx.Done(), samphirepass.Ticket{Caller: acc.caller, Rank: acc.rank, DeadlineMs: acc.deadline})
+	admitter := a.admitter(acc.service)
+	permit, err := admitter.Admit(ctx.Done(), a.ticket(acc))
 	if err != nil {
 		return samphirepass.Answer{}, err
 	}
@@ -69,9 +70,10 @@
 	req := leaf.Request{
 		ID: samphirepass.RequestID(uuid.NewString()), Service: acc.service, Spec: acc.spec,
 		DeadlineMs: acc.deadline - (started - began), Body: q.Query,
+		Congested: admitter.Congested(), Progress: permit.Left,
 	}
 	g, err := a.o.Gatherer.Gather(ctx, req)
-	leave(samphirepass.Outcome{LatencyMs: a.o.Clock.Now() - started, Shed: g.Shed})
+	permit.End(samphirepass.Outcome{LatencyMs: a.o.Clock.Now() - started, HalfMs: g.HalfMs, Shed: g.Shed})
 	if err != nil {
 		return samphirepass.Answer{}, err
 	}
--- a/caller/run.go
+++ b/caller/run.go
@@ -76,11 +76,11 @@
 
 // runOnce claims the key, sends the run and records its outcome.
 func (a *API) runOnce(ctx context.Context, acc accepted, run samphirepass.Run, keyMs samphirepass.Millis) (RunAnswer, error) {
-	leave, err := a.admitter(acc.service).Admit(ctx.Done(), samphirepass.Ticket{Caller: acc.caller, Rank: acc.rank, DeadlineMs: acc.deadline})
+	permit, err := a.admitter(acc.service).Admit(ctx.Done(), a.ticket(acc))
 	if err != nil {
 		return RunAnswer{}, err
 	}
-	defer leave(samphirepass.Outcome{})
+	defer permit.End(samphirepass.Outcome{})
 	claim := ledger.Claim{
 		Service: acc.service, Caller: run.Caller, Key: run.Key, KeyMs: keyMs, Digest: digest(acc.service, run),
 		Token: string(a.o.VM) + "/" + uuid.NewString(), DeadlineMs: acc.deadline + runMarginMs, RetentionMs: acc.spec.RunRetention(),
--- a/caller/service.go
+++ b/caller/service.go
@@ -113,3 +113,12 @@
 	r.Field, r.Allowed = field, allowed
 	return r
 }
+
+// ticket asks for admission with this entry's part of the leaves' slots.
+func (a *API) ticket(acc accepted) samphirepass.Ticket {
+	t := samphirepass.Ticket{Caller: acc.caller, Rank: acc.rank, DeadlineMs: acc.deadline}
+	if seats := len(a.o.Board.Config.Value().Seats); seats > 0 {
+		t.Capacity = float64(a.o.Gatherer.Slots(acc.service)) / float64(seats)
+	}
+	return t
+}
--- a/leaf/book.go
+++ b/leaf/book.go
@@ -171,16 +171,29 @@
 	t.failedAt = now
 }
 
-// cancel records an attempt that was cut off after the given time, which its latency exceeds.
+// cancel records an attempt that was cut off after the given time for reasons of this side.
 func (t *target) cancel(took samphirepass.Millis) {
+	t.slow(took)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight--
+}
+
+// slow records that an attempt without an answer took longer than the given time.
+func (t *target) slow(took samphirepass.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if took > t.latency && t.latency > 0 {
 		t.observe(took)
 	}
 }
 
+func (t *target) meanLatency() samphirepass.Millis {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.latency
+}
+
 func (t *target) networkShare() samphirepass.Millis {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/leaf/gather.go
+++ b/leaf/gather.go
@@ -32,6 +32,10 @@
 	Spec       samphirepass.ServiceSpec
 	DeadlineMs samphirepass.Millis
 	Body       []byte
+	// Congested is set where requests wait for admission, when extra attempts would take the place of first ones.
+	Congested bool
+	// Progress is told which part of the shards is still open; it may be nil.
+	Progress func(left float64)
 }
 
 // Gathered is what the leaves gave.
@@ -41,7 +45,9 @@
 	Items    []samphirepass.Item
 	// Extra counts the hedges and retries, Attempts all leaf requests.
 	Extra, Attempts int
-	// Shed is set where leaves refused work or the deadline passed.
+	// HalfMs is the time after which half of the shards had been answered or given up.
+	HalfMs samphirepass.Millis
+	// Shed is set where shards lack because leaves refused work or the deadline passed.
 	Shed bool
 }
 
@@ -78,12 +84,13 @@
 	defer g.mu.Unlock()
 	d := g.services[r.Service]
 	if d == nil {
-		d = &decisions{hedger: g.policy.NewHedger(), percent: -1}
+		d = &decisions{percent: -1}
 		g.services[r.Service] = d
 	}
 	if d.percent != r.Spec.HedgeBudgetPercent {
 		d.percent = r.Spec.HedgeBudgetPercent
 		d.budget = g.policy.NewBudget(d.percent)
+		d.hedger = g.policy.NewHedger(d.percent)
 	}
 	return &decisions{hedger: d.hedger, budget: d.budget}
 }
@@ -146,7 +153,7 @@
 	answered  bool
 	partial   bool
 	items     []samphirepass.Item
-	cancels   []context.CancelFunc
+	cancels   []context.CancelCauseFunc
 }
 
 // fanOut is one query on one snapshot; only its own goroutine touches it.
@@ -162,6 +169,7 @@
 	timer   *time.Timer
 	// open counts the shards that may still be answered.
 	open            int
+	halfMs          samphirepass.Millis
 	extra, attempts int
 	shed, retired   bool
 }
@@ -176,6 +184,9 @@
 		}
 	}
 	f.budget.Primary(f.attempts)
+	if f.request.Congested {
+		f.budget.Overload()
+	}
 	f.schedule()
 	for f.open > 0 {
 		select {
@@ -209,7 +220,7 @@
 	s.started = f.g.clock.Now()
 	s.hedgeFrom = s.started
 	f.attempts++
-	ctx, cancel := context.WithCancel(f.ctx)
+	ctx, cancel := context.WithCancelCause(f.ctx)
 	s.cancels = append(s.cancels, cancel)
 	a := samphirepass.Attempt{
 		Request: samphirepass.RequestID(uuid.NewString()), Service: f.request.Service, Snapshot: f.plan.Snapshot,
@@ -274,9 +285,15 @@
 		f.hedger.Observe(f.g.clock.Now() - s.started)
 	}
 	for _, cancel := range s.cancels {
-		cancel()
+		cancel(samphirepass.ErrBeaten)
 	}
 	f.open--
+	if f.halfMs == 0 && f.open <= len(f.shards)/2 {
+		f.halfMs = f.g.clock.Now() - f.began
+	}
+	if f.request.Progress != nil {
+		f.request.Progress(float64(f.open) / float64(len(f.shards)))
+	}
 }
 
 func (f *fanOut) takePartial(r result) {
@@ -284,43 +301,53 @@
 	if !s.partial || len(r.items) > len(s.items) {
 		s.partial, s.items = true, r.items
 	}
-	f.retry(r.shard)
+	f.retry(r.shard, f.budget.Take)
 }
 
 func (f *fanOut) takeFailure(r result) {
+	pay := f.budget.Take
 	var failure *samphirepass.AttemptError
 	if errors.As(r.err, &failure) {
-		switch failure.Kind {
-		case samphirepass.FailureShed:
+		switch {
+		case failure.Kind == samphirepass.FailureShed:
 			f.shed = true
-			f.budget.Overload()
-		case samphirepass.FailureNotHeld:
+			f.budget.Shed()
+			pay = f.budget.TakeCheap
+		case failure.Kind == samphirepass.FailureNotHeld:
 			f.retired = true
+			pay = f.budget.TakeCheap
+		case failure.Free():
+			pay = nil
 		}
 	}
-	f.retry(r.shard)
+	f.retry(r.shard, pay)
 }
 
-// retry starts another attempt if the budget allows, and gives the shard up if nothing runs for it any more.
-func (f *fanOut) retry(shard int) {
+// retry starts another attempt if it can be paid for, and gives the shard up if nothing runs for it any more.
+func (f *fanOut) retry(shard int, pay func() bool) {
 	s := &f.shards[shard]
 	if s.running > 0 {
 		return
 	}
-	if f.ctx.Err() == nil && f.extraAttempt(shard) {
+	if f.ctx.Err() == nil && f.extraAttempt(shard, pay) {
 		return
 	}
 	f.close(shard)
 }
 
-func (f *fanOut) extraAttempt(shard int) bool {
-	if len(f.untried(shard)) == 0 || !f.budget.Take() {
+// extraAttempt starts another attempt; one in place of an attempt that cost the leaf nothing needs no pay.
+func (f *fanOut) extraAttempt(shard int, pay func() bool) bool {
+	if len(f.untried(shard)) == 0 || (pay != nil && !pay()) {
 		return false
 	}
 	if !f.launch(shard) {
 		return false
 	}
-	f.extra++
+	if pay == nil {
+		f.attempts--
+	} else {
+		f.extra++
+	}
 	f.schedule()
 	return true
 }
@@ -355,7 +382,7 @@
 		if !f.hedgeable(i) || now-f.shards[i].hedgeFrom < delay {
 			continue
 		}
-		if !f.extraAttempt(i) {
+		if !f.extraAttempt(i, f.budget.Take) {
 			// Without budget the shard is looked at again after another delay.
 			f.shards[i].hedgeFrom = now
 		}
@@ -374,6 +401,10 @@
 
 func (f *fanOut) gathered() Gathered {
 	out := Gathered{Snapshot: f.plan.Snapshot, Extra: f.extra, Attempts: f.attempts, Shed: f.shed}
+	out.HalfMs = f.halfMs
+	if out.HalfMs == 0 {
+		out.HalfMs = f.g.clock.Now() - f.began
+	}
 	out.Coverage.Total = len(f.shards)
 	out.Coverage.Missing = []samphirepass.Shard{}
 	for i := range f.shards {
@@ -385,6 +416,7 @@
 		}
 		out.Items = append(out.Items, s.items...)
 	}
+	out.Shed = out.Shed && !out.Coverage.Whole()
 	out.Items = merge(out.Items, f.request.Spec.Merge)
 	return out
 }
--- a/leaf/plan.go
+++ b/leaf/plan.go
@@ -29,6 +29,21 @@
 	return n
 }
 
+// Slots counts the requests on one shard that its leaves can work on at once, for the shard with the fewest.
+func (p Plan) Slots() int {
+	least := 0
+	for i, leaves := range p.Shards {
+		n := 0
+		for _, k := range leaves {
+			n += k.Slots
+		}
+		if i == 0 || (n > 0 && n < least) {
+			least = n
+		}
+	}
+	return least
+}
+
 // MakePlan picks the newest snapshot that is whole, or else the newest of those that cover the most.
 func MakePlan(leaves []Known, avoid samphirepass.Snapshot) Plan {
 	plans := plansBySnapshot(leaves)
--- a/leaf/run.go
+++ b/leaf/run.go
@@ -31,3 +31,8 @@
 func (g *Gatherer) Run(ctx context.Context, k Known, a samphirepass.Attempt) (samphirepass.Reply, error) {
 	return g.sender.Send(ctx, k.Announcement, a)
 }
+
+// Slots counts the requests on one shard of a service that its leaves can work on at once.
+func (g *Gatherer) Slots(service samphirepass.Service) int {
+	return g.planner.Plan(service).Slots()
+}
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -53,6 +53,9 @@
 		t.succeed(now, now-began, reply)
 	case kind == samphirepass.FailureShed:
 		t.shed(now)
+	case errors.Is(context.Cause(ctx), samphirepass.ErrBeaten):
+		t.fail(now)
+		t.slow(now - began)
 	case errors.Is(ctx.Err(), context.Canceled), kind == samphirepass.FailureNotSent && ctx.Err() != nil:
 		t.cancel(now - began)
 	default:
@@ -80,6 +83,11 @@
 }
 
 func (s *Sender) exchange(ctx context.Context, t *target, one *lane, to samphirepass.Announcement, a samphirepass.Attempt) (samphirepass.Reply, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if one.usedMs > 0 && a.Key == "" {
+		defer s.watchSilence(ctx, cancel, t).Stop()
+	}
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), t, to, a)
@@ -90,7 +98,10 @@
 	resp, err := one.transport.RoundTrip(req)
 	if err != nil {
 		kind := samphirepass.FailureLost
-		if !wrote.Load() {
+		switch {
+		case errors.Is(context.Cause(ctx), errSilent):
+			kind = samphirepass.FailureSilent
+		case !wrote.Load():
 			kind = samphirepass.FailureNotSent
 		}
 		return samphirepass.Reply{}, failed(kind, fmt.Errorf("send to %s: %w", to.Leaf, err))
--- a/policy.go
+++ b/policy.go
@@ -16,6 +16,7 @@
 	// WarmMs is the time since the leaf's incarnation was first heard of.
 	WarmMs Millis
 	// Failures counts the failed attempts since the last good one.
+	// An attempt that lost to a later one counts as failed.
 	Failures int
 	// SinceFailureMs is the time since the last failed attempt.
 	SinceFailureMs Millis
@@ -47,7 +48,11 @@
 	Primary(n int)
 	// Take asks for one extra attempt.
 	Take() bool
-	// Overload closes the budget while the service sheds.
+	// TakeCheap asks for one in place of an attempt that a leaf refused without working on it.
+	TakeCheap() bool
+	// Shed records a first attempt that a leaf refused.
+	Shed()
+	// Overload closes the budget for a while.
 	Overload()
 }
 
@@ -57,17 +62,32 @@
 	// Rank is the place of the class in the operators' order, 0 first.
 	Rank       int
 	DeadlineMs Millis
+	// Capacity is the number of requests that the leaves can work on at once for this entry, 0 if it is not known.
+	Capacity float64
 }
 
 // Outcome tells a limiter how an admitted request ended.
 type Outcome struct {
+	// LatencyMs is the time of the whole request, 0 if it says nothing about the leaves.
 	LatencyMs Millis
-	// Shed is set where leaves refused work or the deadline passed.
+	// HalfMs is the time after which half of the shards had answered, which stragglers do not sway.
+	HalfMs Millis
+	// Shed is set where the answer lacks shards because leaves refused work or the deadline passed.
 	Shed bool
 }
 
+// Permit lets one request run; it is used by one goroutine.
+type Permit interface {
+	// Left tells which part of the request's leaf requests is still under way, from 1 down to 0.
+	Left(part float64)
+	// End gives the permit back.
+	End(o Outcome)
+}
+
 // Admitter decides which requests run now, wait or are refused; it is safe for concurrent use.
 type Admitter interface {
-	// Admit blocks until the request may run; it returns a function to call at its end, or a refusal.
-	Admit(done <-chan struct{}, t Ticket) (func(Outcome), error)
+	// Admit blocks until the request may run or done is closed; its error is a refusal.
+	Admit(done <-chan struct{}, t Ticket) (Permit, error)
+	// Congested reports whether requests wait for admission.
+	Congested() bool
 }
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -8,12 +8,16 @@
 )
 
 const (
+	// limitStart is the limit before the capacity of the leaves is known.
 	limitStart = 16
 	limitMin   = 1
-	limitMax   = 4096
+	// startFactor and maxFactor relate the first and the largest limit to the capacity of the leaves:
+	// a few requests wait at each leaf, so that its slots do not run empty.
+	startFactor = 1.5
+	maxFactor   = 2.5
 	// maxWaiters bounds the requests that wait for admission.
 	maxWaiters = 1024
-	// congestedFactor is how far the mean latency may rise above the lowest before the limit shrinks.
+	// congestedFactor is how far the mean time of half the shards may rise above the lowest before the limit shrinks.
 	congestedFactor = 2.0
 	// shrinkFactor is applied to the limit on each sign of overload, at most once per mean latency.
 	shrinkFactor = 0.85
@@ -27,10 +31,21 @@
 type Open struct{}
 
 // Admit returns at once.
-func (Open) Admit(<-chan struct{}, samphirepass.Ticket) (func(samphirepass.Outcome), error) {
-	return func(samphirepass.Outcome) {}, nil
+func (Open) Admit(<-chan struct{}, samphirepass.Ticket) (samphirepass.Permit, error) {
+	return openPermit{}, nil
 }
 
+type openPermit struct{}
+
+// Left does nothing.
+func (openPermit) Left(float64) {}
+
+// End does nothing.
+func (openPermit) End(samphirepass.Outcome) {}
+
+// Congested reports that nothing waits.
+func (Open) Congested() bool { return false }
+
 type waiter struct {
 	samphirepass.Ticket
 	since   samphirepass.Millis
@@ -41,12 +56,16 @@
 type Limiter struct {
 	clock samphirepass.Clock
 
-	mu         sync.Mutex
-	limit      float64
-	running    int
-	byCaller   map[samphirepass.Caller]int
-	waiters    []*waiter
-	mean       samphirepass.Millis
+	mu       sync.Mutex
+	limit    float64
+	capacity float64
+	// running adds up the parts of the admitted requests that are still under way.
+	running  float64
+	byCaller map[samphirepass.Caller]int
+	waiters  []*waiter
+	// whole and half are moving means of the times of requests, lowest the lowest of half.
+	whole      samphirepass.Millis
+	half       samphirepass.Millis
 	lowest     samphirepass.Millis
 	lastShrink samphirepass.Millis
 }
@@ -57,7 +76,7 @@
 }
 
 // Admit lets the request run, wait or go; a refusal is cheap and promises that nothing was run.
-func (l *Limiter) Admit(done <-chan struct{}, t samphirepass.Ticket) (func(samphirepass.Outcome), error) {
+func (l *Limiter) Admit(done <-chan struct{}, t samphirepass.Ticket) (samphirepass.Permit, error) {
 	w, err := l.enter(t)
 	if err != nil {
 		return nil, err
@@ -72,24 +91,50 @@
 			if !l.withdraw(w) {
 				// The grant crossed the end of the wait.
 				if err := <-w.granted; err == nil {
-					l.leave(t, samphirepass.Outcome{})
+					l.end(t, 1, samphirepass.Outcome{})
 				}
 			}
 			return nil, samphirepass.Refuse(samphirepass.CodeDeadline, "the deadline passed before the request could run")
 		}
 	}
-	return func(o samphirepass.Outcome) { l.leave(t, o) }, nil
+	return &permit{limiter: l, ticket: t, left: 1}, nil
+}
+
+// permit is the right of one request to run.
+type permit struct {
+	limiter *Limiter
+	ticket  samphirepass.Ticket
+	left    float64
+}
+
+// Left makes room for others as the request's leaf requests are answered.
+func (p *permit) Left(part float64) {
+	p.limiter.shrink(p.left - part)
+	p.left = part
+}
+
+// End gives back what is left.
+func (p *permit) End(o samphirepass.Outcome) {
+	p.limiter.end(p.ticket, p.left, o)
+}
+
+func (l *Limiter) shrink(by float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running -= by
+	l.grantNext()
 }
 
 // enter admits at once, or returns a waiter, or refuses.
 func (l *Limiter) enter(t samphirepass.Ticket) (*waiter, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.running < int(l.limit) && len(l.waiters) == 0 {
+	l.follow(t.Capacity)
+	if l.room() && len(l.waiters) == 0 {
 		l.start(t)
 		return nil, nil
 	}
-	if l.expectedWait(t.Rank)+l.mean > t.DeadlineMs {
+	if l.expectedWait(t.Rank)+l.whole > t.DeadlineMs {
 		return nil, samphirepass.Refuse(samphirepass.CodeOverloaded, "no capacity for this class within the deadline")
 	}
 	if len(l.waiters) >= maxWaiters && !l.evictBelow(t.Rank) {
@@ -101,6 +146,27 @@
 	return w, nil
 }
 
+// follow scales the limit with the capacity of the leaves.
+func (l *Limiter) follow(capacity float64) {
+	if capacity <= 0 || capacity == l.capacity {
+		return
+	}
+	if l.capacity == 0 {
+		l.limit = capacity * startFactor
+	} else {
+		l.limit *= capacity / l.capacity
+	}
+	l.capacity = capacity
+	l.limit = max(l.limit, limitMin)
+}
+
+// Congested reports whether requests wait for admission.
+func (l *Limiter) Congested() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiters) > 0
+}
+
 // expectedWait estimates how long a new request of the given rank waits.
 func (l *Limiter) expectedWait(rank int) samphirepass.Millis {
 	before := 1
@@ -109,7 +175,7 @@
 			before++
 		}
 	}
-	return l.mean * samphirepass.Millis(before) / samphirepass.Millis(max(l.limit, 1))
+	return l.half * samphirepass.Millis(before) / samphirepass.Millis(max(l.limit, 1))
 }
 
 // evictBelow refuses the last waiter of a lower class and reports whether there was one.
@@ -128,6 +194,11 @@
 	return true
 }
 
+// room reports whether one more request may run; the parts add up to whole numbers only nearly.
+func (l *Limiter) room() bool {
+	return l.running+1 <= l.limit+0.5
+}
+
 func (l *Limiter) start(t samphirepass.Ticket) {
 	l.running++
 	l.byCaller[t.Caller]++
@@ -147,7 +218,7 @@
 // grantNext lets waiters run while there is room: the best class first, in it the caller with the fewest running.
 func (l *Limiter) grantNext() {
 	l.refuseHopeless()
-	for len(l.waiters) > 0 && l.running < int(l.limit) {
+	for len(l.waiters) > 0 && l.room() {
 		best := 0
 		for i, w := range l.waiters {
 			b := l.waiters[best]
@@ -166,7 +237,7 @@
 func (l *Limiter) refuseHopeless() {
 	now := l.clock.Now()
 	l.waiters = slices.DeleteFunc(l.waiters, func(w *waiter) bool {
-		if now-w.since+l.mean <= w.DeadlineMs {
+		if now-w.since+l.whole <= w.DeadlineMs {
 			return false
 		}
 		w.granted <- samphirepass.Refuse(samphirepass.CodeOverloaded, "no capacity came free within the deadline")
@@ -174,11 +245,11 @@
 	})
 }
 
-func (l *Limiter) leave(t samphirepass.Ticket, o samphirepass.Outcome) {
+func (l *Limiter) end(t samphirepass.Ticket, left float64, o samphirepass.Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	full := l.running >= int(l.limit)
-	l.running--
+	full := !l.room()
+	l.running -= left
 	l.byCaller[t.Caller]--
 	if l.byCaller[t.Caller] == 0 {
 		delete(l.byCaller, t.Caller)
@@ -190,24 +261,25 @@
 // adapt moves the limit by additive increase and multiplicative decrease.
 func (l *Limiter) adapt(o samphirepass.Outcome, full bool) {
 	if o.LatencyMs > 0 {
-		l.observe(o.LatencyMs)
+		l.observe(o)
 	}
-	congested := l.mean > l.lowest*congestedFactor
+	congested := l.half > l.lowest*congestedFactor
 	now := l.clock.Now()
 	switch {
-	case (o.Shed || congested) && now-l.lastShrink > l.mean:
+	case (o.Shed || congested) && now-l.lastShrink > l.whole:
 		l.limit = max(l.limit*shrinkFactor, limitMin)
 		l.lastShrink = now
 	case full && !o.Shed && !congested:
-		l.limit = min(l.limit+1/l.limit, limitMax)
+		l.limit = max(min(l.limit+1/l.limit, l.capacity*maxFactor), limitMin)
 	}
 }
 
-func (l *Limiter) observe(latency samphirepass.Millis) {
-	if l.mean == 0 {
-		l.mean, l.lowest = latency, latency
+func (l *Limiter) observe(o samphirepass.Outcome) {
+	if l.whole == 0 {
+		l.whole, l.half, l.lowest = o.LatencyMs, o.HalfMs, o.HalfMs
 		return
 	}
-	l.mean += (latency - l.mean) * meanWeight
-	l.lowest = min(l.lowest*floorDecay, l.mean)
+	l.whole += (o.LatencyMs - l.whole) * meanWeight
+	l.half += (o.HalfMs - l.half) * meanWeight
+	l.lowest = min(l.lowest*floorDecay, l.half)
 }
--- a/policy/budget.go
+++ b/policy/budget.go
@@ -9,6 +9,12 @@
 const (
 	// budgetBurst is the number of extra attempts that may be saved up, beside those that the last query earned.
 	budgetBurst = 8
+	// shedWindow is the number of first attempts over which the share of shed ones is judged.
+	shedWindow = 200
+	// shedPercent is the share of shed attempts above which the service counts as overloaded.
+	shedPercent = 15
+	// cheapCost is what an attempt in place of a refused one costs, a whole one being 1.
+	cheapCost = 0.2
 	// overloadPauseMs is how long the budget stays closed after a sign of overload.
 	overloadPauseMs samphirepass.Millis = 1000
 )
@@ -21,6 +27,8 @@
 	mu          sync.Mutex
 	tokens      float64
 	closedUntil samphirepass.Millis
+	// first and shed count the attempts of the present window.
+	first, shed int
 }
 
 // NewTokens returns a budget of limit percent with nothing saved up.
@@ -34,19 +42,38 @@
 	defer t.mu.Unlock()
 	earned := float64(n) * float64(t.limit) / 100
 	t.tokens = min(t.tokens, budgetBurst) + earned
+	t.first += n
+	if t.first >= shedWindow {
+		t.first, t.shed = t.first/2, t.shed/2
+	}
 }
 
 // Take spends one token, if there is one and the budget is open.
-func (t *Tokens) Take() bool {
+func (t *Tokens) Take() bool { return t.take(1) }
+
+// TakeCheap spends a part of a token, if there is as much and the budget is open.
+func (t *Tokens) TakeCheap() bool { return t.take(cheapCost) }
+
+func (t *Tokens) take(cost float64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.tokens < 1 || t.clock.Now() < t.closedUntil {
+	if t.tokens < cost || t.clock.Now() < t.closedUntil {
 		return false
 	}
-	t.tokens--
+	t.tokens -= cost
 	return true
 }
 
+// Shed records a refused attempt, and closes the budget once too many are refused.
+func (t *Tokens) Shed() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.shed++
+	if t.shed*100 > shedPercent*max(t.first, shedWindow/2) {
+		t.closedUntil = t.clock.Now() + overloadPauseMs
+	}
+}
+
 // Overload closes the budget for a while.
 func (t *Tokens) Overload() {
 	t.mu.Lock()
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -18,7 +18,7 @@
 	loadFreshMs samphirepass.Millis = 1000
 	// otherCentreFactor weighs the way to another data centre against load.
 	otherCentreFactor = 1.2
-	// unknownLatencyMs stands for the latency of a leaf that has not answered yet.
+	// unknownLatencyMs stands for the latency of a leaf where none has answered yet.
 	unknownLatencyMs samphirepass.Millis = 5
 )
 
@@ -45,17 +45,34 @@
 		j++
 	}
 	a, b := usable[i], usable[j]
-	if Score(candidates[b]) < Score(candidates[a]) {
+	typical := typicalLatency(candidates)
+	if Score(candidates[b], typical) < Score(candidates[a], typical) {
 		return b
 	}
 	return a
 }
 
-// Score estimates the wait at a leaf in milliseconds, with factors for distance and slow start.
-func Score(c samphirepass.Candidate) float64 {
+// typicalLatency is the mean over the leaves that have answered.
+func typicalLatency(candidates []samphirepass.Candidate) samphirepass.Millis {
+	sum, n := samphirepass.Millis(0), samphirepass.Millis(0)
+	for _, c := range candidates {
+		if c.LatencyMs > 0 {
+			sum += c.LatencyMs
+			n++
+		}
+	}
+	if n == 0 {
+		return unknownLatencyMs
+	}
+	return sum / n
+}
+
+// Score estimates the wait at a leaf in milliseconds, with factors for distance and slow start;
+// typical stands for the latency of a leaf that has not answered yet.
+func Score(c samphirepass.Candidate, typical samphirepass.Millis) float64 {
 	latency := c.LatencyMs
 	if latency == 0 {
-		latency = unknownLatencyMs
+		latency = typical
 	}
 	occupied := float64(c.InFlight) / float64(max(c.Slots, 1))
 	if c.LoadAgeMs <= loadFreshMs {
--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -9,8 +9,12 @@
 )
 
 const (
-	// hedgeQuantile is the share of leaf requests, in percent, that are not late.
-	hedgeQuantile = 95
+	// hedgeShare is the part of the budget that is meant for hedges, the rest being for retries and noise.
+	hedgeShare = 0.6
+	// hedgeMaxPercent bounds the share of leaf requests that count as late.
+	hedgeMaxPercent = 10
+	// medianFactor bounds the delay where so many requests straggle that the quantile lies among them.
+	medianFactor = 3
 	// hedgeWindow is the number of observations after which the older half of them is dropped.
 	hedgeWindow = 2000
 	// hedgeMinimum is the number of observations below which nothing counts as late.
@@ -32,6 +36,9 @@
 
 // Quantile calls a shard late once it has taken longer than nearly all recent leaf requests.
 type Quantile struct {
+	// late is the share of leaf requests, in percent, that count as late.
+	late float64
+
 	mu sync.Mutex
 	// last is filled, then takes the place of previous.
 	last, previous *hdrhistogram.Histogram
@@ -42,9 +49,10 @@
 // updateEvery is the number of observations between two looks at the quantile.
 const updateEvery = 32
 
-// NewQuantile returns a hedger without observations.
-func NewQuantile() *Quantile {
-	return &Quantile{last: newHistogram(), previous: newHistogram()}
+// NewQuantile returns a hedger without observations, for a budget of limit percent.
+func NewQuantile(limit samphirepass.Percent) *Quantile {
+	late := min(float64(limit)*hedgeShare, hedgeMaxPercent)
+	return &Quantile{late: late, last: newHistogram(), previous: newHistogram()}
 }
 
 func newHistogram() *hdrhistogram.Histogram {
@@ -76,12 +84,15 @@
 	if both.TotalCount() < hedgeMinimum {
 		return
 	}
-	q.delay = samphirepass.Millis(both.ValueAtQuantile(hedgeQuantile)) / microsPerMilli
+	at := func(percent float64) samphirepass.Millis {
+		return samphirepass.Millis(both.ValueAtQuantile(percent)) / microsPerMilli
+	}
+	q.delay = min(at(100-q.late), max(at(50)*medianFactor, at(100-hedgeMaxPercent)))
 }
 
 // Delay returns the quantile, once there are enough observations.
 func (q *Quantile) Delay() (samphirepass.Millis, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.delay, q.delay > 0
+	return q.delay, q.delay > 0 && q.late > 0
 }
--- a/policy/set.go
+++ b/policy/set.go
@@ -5,8 +5,8 @@
 // Set makes the decisions of one entry.
 type Set struct {
 	Chooser samphirepass.Chooser
-	// NewHedger, NewBudget and NewAdmitter make the decisions of one service.
-	NewHedger   func() samphirepass.Hedger
+	// NewHedger, NewBudget and NewAdmitter make the decisions of one service; limit is its budget of extra load.
+	NewHedger   func(limit samphirepass.Percent) samphirepass.Hedger
 	NewBudget   func(limit samphirepass.Percent) samphirepass.Budget
 	NewAdmitter func() samphirepass.Admitter
 }
@@ -49,7 +49,7 @@
 func baseline(clock samphirepass.Clock) Set {
 	return Set{
 		Chooser:     Random{},
-		NewHedger:   func() samphirepass.Hedger { return NoHedge{} },
+		NewHedger:   func(samphirepass.Percent) samphirepass.Hedger { return NoHedge{} },
 		NewBudget:   func(limit samphirepass.Percent) samphirepass.Budget { return NewTokens(limit, clock) },
 		NewAdmitter: func() samphirepass.Admitter { return Open{} },
 	}
@@ -59,7 +59,7 @@
 func measured(clock samphirepass.Clock) Set {
 	return Set{
 		Chooser:     Scored{},
-		NewHedger:   func() samphirepass.Hedger { return NewQuantile() },
+		NewHedger:   func(limit samphirepass.Percent) samphirepass.Hedger { return NewQuantile(limit) },
 		NewBudget:   func(limit samphirepass.Percent) samphirepass.Budget { return NewTokens(limit, clock) },
 		NewAdmitter: func() samphirepass.Admitter { return NewLimiter(clock) },
 	}
