policy: Let refused attempts move on while hedges are closed

Ruled out: admission (no query of the first class was refused). Change: overload closes hedges only, a high share of refusals closes all; the limit ends at twice the capacity, not 2.5 times.

--- a/bench/run.go
+++ b/bench/run.go
@@ -27,6 +27,9 @@
 	Coverage float64     `json:"coverage"`
 	// FirstClassGoodput is the share of the first class's queries that were answered whole in time.
 	FirstClassGoodput float64 `json:"first-class-goodput"`
+	// FirstClassPartial and FirstClassRefused count its other queries.
+	FirstClassPartial int `json:"first-class-partial"`
+	FirstClassRefused int `json:"first-class-refused"`
 	// MaxConnections is the largest number of connections that any leaf had at one time.
 	MaxConnections int64 `json:"max-connections"`
 	// OverLimit counts the connections beyond a leaf's limit.
@@ -97,6 +100,7 @@
 	out.ExtraLoadPercent = ExtraLoad(after-before, extraAfter-extraBefore)
 	f := first.Figures()
 	out.FirstClassGoodput = float64(f.Whole) / float64(max(f.Requests, 1))
+	out.FirstClassPartial, out.FirstClassRefused = f.Partial, f.Refused
 	for _, l := range rig.Leaves {
 		counts := l.Counts()
 		out.MaxConnections = max(out.MaxConnections, counts.MaxConnections)
--- a/policy.go
+++ b/policy.go
@@ -52,7 +52,7 @@
 	TakeCheap() bool
 	// Shed records a first attempt that a leaf refused.
 	Shed()
-	// Overload closes the budget for a while.
+	// Overload closes the budget for a while, but for attempts in place of refused ones.
 	Overload()
 }
 
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -14,7 +14,7 @@
 	// startFactor and maxFactor relate the first and the largest limit to the capacity of the leaves:
 	// a few requests wait at each leaf, so that its slots do not run empty.
 	startFactor = 1.5
-	maxFactor   = 2.5
+	maxFactor   = 2.0
 	// maxWaiters bounds the requests that wait for admission.
 	maxWaiters = 1024
 	// congestedFactor is how far the mean time of half the shards may rise above the lowest before the limit shrinks.
--- a/policy/budget.go
+++ b/policy/budget.go
@@ -24,9 +24,11 @@
 	limit samphirepass.Percent
 	clock samphirepass.Clock
 
-	mu          sync.Mutex
-	tokens      float64
-	closedUntil samphirepass.Millis
+	mu     sync.Mutex
+	tokens float64
+	// busyUntil ends the time without hedges, shedUntil the time without any extra attempt.
+	busyUntil samphirepass.Millis
+	shedUntil samphirepass.Millis
 	// first and shed count the attempts of the present window.
 	first, shed int
 }
@@ -49,15 +51,21 @@
 }
 
 // Take spends one token, if there is one and the budget is open.
-func (t *Tokens) Take() bool { return t.take(1) }
+func (t *Tokens) Take() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.clock.Now() >= t.busyUntil && t.spend(1)
+}
 
 // TakeCheap spends a part of a token, if there is as much and the budget is open.
-func (t *Tokens) TakeCheap() bool { return t.take(cheapCost) }
-
-func (t *Tokens) take(cost float64) bool {
+func (t *Tokens) TakeCheap() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.tokens < cost || t.clock.Now() < t.closedUntil {
+	return t.spend(cheapCost)
+}
+
+func (t *Tokens) spend(cost float64) bool {
+	if t.tokens < cost || t.clock.Now() < t.shedUntil {
 		return false
 	}
 	t.tokens -= cost
@@ -70,13 +78,13 @@
 	defer t.mu.Unlock()
 	t.shed++
 	if t.shed*100 > shedPercent*max(t.first, shedWindow/2) {
-		t.closedUntil = t.clock.Now() + overloadPauseMs
+		t.shedUntil = t.clock.Now() + overloadPauseMs
 	}
 }
 
-// Overload closes the budget for a while.
+// Overload closes the budget for a while, but for attempts in place of refused ones.
 func (t *Tokens) Overload() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.closedUntil = t.clock.Now() + overloadPauseMs
+	t.busyUntil = t.clock.Now() + overloadPauseMs
 }
