control: Check recorded histories for linearizability

Change: four clients read at any member and change through the leader, resending until answered, while members are stopped, cut off and silenced. Ruled out on the way: histories with open operations (the checker gave up after 60 s); relays without a source, which hid stale members from the clients too.

--- /dev/null
+++ b/control/linear_test.go
@@ -0,0 +1,297 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"samphirepass"
+	"samphirepass/control"
+	"samphirepass/disk"
+	"samphirepass/ledger"
+	"samphirepass/peer"
+	"samphirepass/quorum"
+	"samphirepass/standin"
+)
+
+// running is one control member in this process, behind a relay.
+type running struct {
+	o      control.Options
+	listen string
+	ip     netip.Addr
+	relay  *standin.Relay
+	cancel context.CancelFunc
+	server *http.Server
+	peers  *peer.Server
+	done   chan struct{}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func startMembers(t *testing.T, n int) []*running {
+	t.Helper()
+	var members []quorum.Member
+	var out []*running
+	for i := range n {
+		r := &running{listen: freeAddress(t), ip: netip.AddrFrom4([4]byte{127, 0, 4, byte(i + 1)})}
+		relay, err := standin.NewRelay("127.0.0.1:0", r.listen)
+		require.NoError(t, err)
+		r.relay = relay
+		folder, err := disk.OpenFolder(t.TempDir())
+		require.NoError(t, err)
+		vm := samphirepass.VM(fmt.Sprintf("control-%d", i))
+		members = append(members, quorum.Member{VM: vm, Address: relay.Address()})
+		r.o = control.Options{VM: vm, Address: relay.Address(), Seats: 1, Files: folder, Clock: samphirepass.SystemClock{}, SnapshotEntries: 20}
+		out = append(out, r)
+	}
+	for _, r := range out {
+		r.o.Members = members
+		r.start(t)
+	}
+	t.Cleanup(func() {
+		for _, r := range out {
+			r.stop()
+			r.relay.Close()
+		}
+	})
+	return out
+}
+
+func (r *running) start(t *testing.T) {
+	t.Helper()
+	r.o.Peers = &peer.Pool{From: r.ip}
+	node := control.NewNode(r.o)
+	handlers := peer.NewHandlers()
+	node.Register(handlers)
+	r.peers = peer.NewServer(handlers)
+	r.server = &http.Server{Handler: r.peers}
+	var l net.Listener
+	require.Eventually(t, func() bool {
+		var err error
+		l, err = net.Listen("tcp", r.listen)
+		return err == nil
+	}, 5*time.Second, 10*time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	r.done = make(chan struct{})
+	go func() { _ = r.server.Serve(l) }()
+	go func() {
+		defer close(r.done)
+		_ = node.Serve(ctx)
+	}()
+}
+
+func (r *running) stop() {
+	r.cancel()
+	<-r.done
+	_ = r.server.Close()
+	r.peers.Close()
+	r.o.Peers.Close()
+}
+
+const (
+	operationPause = 5 * time.Millisecond
+	resendFor      = 10 * time.Second
+	readFor        = 40 * time.Millisecond
+)
+
+// operation is one change or read of the one resource; values are unique, so a value names a revision.
+type operation struct {
+	read        bool
+	base, value string
+}
+
+type observed struct {
+	unknown, accepted bool
+	value             string
+}
+
+var model = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		s, in, out := state.(string), input.(operation), output.(observed)
+		switch {
+		case in.read && (out.unknown || out.value == s):
+			return []any{s}
+		case in.read:
+			return nil
+		case out.unknown && s == in.base:
+			return []any{s, in.value}
+		case out.unknown:
+			return []any{s}
+		case out.accepted && s == in.base:
+			return []any{in.value}
+		case !out.accepted && s != in.base && s == out.value:
+			return []any{s}
+		}
+		return nil
+	},
+}
+
+// history records operations from several clients.
+type history struct {
+	mu     sync.Mutex
+	events []porcupine.Operation
+}
+
+func (h *history) record(client int, in operation, call time.Time, out observed) {
+	end := time.Now().UnixNano()
+	if out.unknown {
+		// It may still take effect at any later time.
+		end = time.Now().Add(time.Hour).UnixNano()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.events = append(h.events, porcupine.Operation{ClientId: client, Input: in, Call: call.UnixNano(), Output: out, Return: end})
+}
+
+// operate reads and changes the resource until ctx ends, with resends under the same change id.
+func operate(ctx context.Context, client int, members []quorum.Member, h *history) {
+	peers := &peer.Pool{}
+	defer peers.Close()
+	c := control.NewClient(members, peers)
+	for n := 0; ctx.Err() == nil; n++ {
+		// Reads go to any member, whether or not it leads, since one that does not must not answer.
+		reader := control.NewClient(members[n%len(members):][:1], peers)
+		call := time.Now()
+		short, cancel := context.WithTimeout(context.Background(), readFor)
+		reply, err := reader.Read(short, samphirepass.KindCaller, "x")
+		cancel()
+		value, revision := "", samphirepass.Revision(0)
+		if err != nil {
+			// A read without an answer constrains nothing.
+			continue
+		}
+		if len(reply.Resources) > 0 {
+			value, revision = text(reply.Resources[0].Spec), reply.Resources[0].Revision
+		}
+		h.record(client, operation{read: true}, call, observed{value: value})
+		change(c, client, n, value, revision, h)
+		time.Sleep(operationPause)
+	}
+}
+
+func text(spec json.RawMessage) string {
+	var s string
+	_ = json.Unmarshal(spec, &s)
+	return s
+}
+
+func change(c *control.Client, client, n int, base string, revision samphirepass.Revision, h *history) {
+	value := fmt.Sprintf("%d-%d", client, n)
+	spec, _ := json.Marshal(value)
+	cmd := ledger.Command{Change: &samphirepass.Change{
+		ID: samphirepass.ChangeID(value), Kind: samphirepass.KindCaller, Name: "x", Spec: spec, Base: revision,
+	}}
+	call := time.Now()
+	out := observed{unknown: true}
+	// A change without an answer is sent again under its id until one comes, which is the answer of the first time.
+	for time.Since(call) < resendFor {
+		short, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+		result, err := c.Propose(short, cmd)
+		cancel()
+		if err != nil {
+			continue
+		}
+		out = observed{accepted: result.Change.Accepted, value: text(result.Change.Winner.Spec)}
+		break
+	}
+	h.record(client, operation{base: base, value: value}, call, out)
+}
+
+// isolate sets the links between one member and the others; clients still reach it.
+func isolate(members []*running, m *running, l standin.Link) {
+	for _, other := range members {
+		if other != m {
+			m.relay.Set(other.ip, l)
+			other.relay.Set(m.ip, l)
+		}
+	}
+}
+
+// nemesis stops, cuts and silences members in turn until ctx ends, then mends everything.
+func nemesis(ctx context.Context, t *testing.T, members []*running, seed int64) {
+	rnd := rand.New(rand.NewSource(seed))
+	for ctx.Err() == nil {
+		m := members[rnd.Intn(len(members))]
+		switch rnd.Intn(3) {
+		case 0:
+			m.stop()
+			time.Sleep(300 * time.Millisecond)
+			m.start(t)
+		case 1:
+			isolate(members, m, standin.LinkCut)
+			time.Sleep(2 * time.Second)
+			isolate(members, m, standin.LinkPass)
+		default:
+			isolate(members, m, standin.LinkSilent)
+			time.Sleep(2 * time.Second)
+			isolate(members, m, standin.LinkPass)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// awaitFormed returns once a change is accepted.
+func awaitFormed(t *testing.T, members []quorum.Member) {
+	t.Helper()
+	peers := &peer.Pool{}
+	defer peers.Close()
+	c := control.NewClient(members, peers)
+	cmd := ledger.Command{Change: &samphirepass.Change{ID: "first", Kind: samphirepass.KindService, Name: "first", Spec: json.RawMessage(`""`)}}
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		result, err := c.Propose(ctx, cmd)
+		return err == nil && result.Change.Accepted
+	}, 20*time.Second, 20*time.Millisecond)
+}
+
+// TestProofLinearizable records reads and changes under faults and looks for one order that explains them all.
+func TestProofLinearizable(t *testing.T) {
+	const clients = 4
+	for _, seed := range []int64{1, 2} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			members := startMembers(t, 3)
+			awaitFormed(t, members[0].o.Members)
+			h := &history{}
+			ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+			defer cancel()
+			var wg sync.WaitGroup
+			for client := range clients {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					operate(ctx, client, members[0].o.Members, h)
+				}()
+			}
+			nemesis(ctx, t, members, seed)
+			wg.Wait()
+			accepted := 0
+			for _, e := range h.events {
+				if e.Output.(observed).accepted {
+					accepted++
+				}
+			}
+			t.Logf("%d operations, %d changes accepted", len(h.events), accepted)
+			require.Positive(t, accepted)
+			require.Equal(t, porcupine.Ok, porcupine.CheckOperationsTimeout(model.ToModel(), h.events, time.Minute))
+		})
+	}
+}
--- /dev/null
+++ b/leaf/registry_test.go
@@ -0,0 +1,173 @@
+package leaf_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"samphirepass"
+	"samphirepass/leaf"
+)
+
+// manual is a clock that stands until it is moved.
+type manual struct{ now samphirepass.Millis }
+
+func (m *manual) Now() samphirepass.Millis  { return m.now }
+func (m *manual) Wall() samphirepass.Millis { return m.now }
+
+func announcement(name string, incarnation samphirepass.Incarnation, sequence uint64, state samphirepass.LeafState, h ...samphirepass.Holding) samphirepass.Announcement {
+	return samphirepass.Announcement{
+		Leaf: samphirepass.Leaf(name), Service: "desk", Address: "127.0.0.1:1", DataCentre: "derby", Incarnation: incarnation,
+		Sequence: sequence, State: state, Holdings: h, Slots: 3, Connections: 30,
+	}
+}
+
+func TestProofNewestAnnouncementWins(t *testing.T) {
+	serving := announcement("a", 5, 9, samphirepass.LeafServing)
+	tests := map[string]struct {
+		next  samphirepass.Announcement
+		newer bool
+	}{
+		"a later sequence":               {next: announcement("a", 5, 10, samphirepass.LeafServing), newer: true},
+		"the same again":                 {next: serving},
+		"an earlier sequence":            {next: announcement("a", 5, 8, samphirepass.LeafServing)},
+		"a later incarnation":            {next: announcement("a", 6, 1, samphirepass.LeafServing), newer: true},
+		"an earlier incarnation":         {next: announcement("a", 4, 99, samphirepass.LeafServing)},
+		"an overtaken drain still wins":  {next: announcement("a", 5, 2, samphirepass.LeafDraining), newer: true},
+		"a drain of an earlier life not": {next: announcement("a", 4, 99, samphirepass.LeafDraining)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := leaf.NewRegistry(&manual{})
+			r.Hear(serving, 0, true)
+			newer, _ := r.Hear(tt.next, 0, false)
+			require.Equal(t, tt.newer, newer)
+		})
+	}
+}
+
+func TestProofDrainIsFinal(t *testing.T) {
+	r := leaf.NewRegistry(&manual{})
+	r.Hear(announcement("a", 5, 9, samphirepass.LeafDraining), 0, true)
+	newer, _ := r.Hear(announcement("a", 5, 50, samphirepass.LeafServing), 0, true)
+	require.False(t, newer)
+	newer, _ = r.Hear(announcement("a", 6, 1, samphirepass.LeafServing), 0, true)
+	require.True(t, newer)
+}
+
+func TestProofSilence(t *testing.T) {
+	tests := map[string]struct {
+		heard map[string]samphirepass.Millis
+		drain string
+		want  int
+	}{
+		"all heard":                              {heard: map[string]samphirepass.Millis{"a": 100, "b": 100, "c": 100}, want: 3},
+		"one silent":                             {heard: map[string]samphirepass.Millis{"a": 9000, "b": 100, "c": 100}, want: 2},
+		"most silent: our own side is suspected": {heard: map[string]samphirepass.Millis{"a": 9000, "b": 9000, "c": 100}, want: 3},
+		"all silent":                             {heard: map[string]samphirepass.Millis{"a": 9000, "b": 9000, "c": 9000}, want: 3},
+		"most silent, but one said that it drains":   {heard: map[string]samphirepass.Millis{"a": 9000, "b": 9000, "c": 9000}, drain: "b", want: 2},
+		"a drained one does not count as the silent": {heard: map[string]samphirepass.Millis{"a": 9000, "b": 100, "c": 100}, drain: "b", want: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := &manual{now: 100_000}
+			r := leaf.NewRegistry(clock)
+			for leafName, age := range tt.heard {
+				state := samphirepass.LeafServing
+				if leafName == tt.drain {
+					state = samphirepass.LeafDraining
+				}
+				r.Hear(announcement(leafName, 1, 1, state), age, false)
+			}
+			got, _ := r.Usable("desk")
+			require.Len(t, got, tt.want)
+			for _, k := range got {
+				require.NotEqual(t, tt.drain, string(k.Leaf))
+			}
+		})
+	}
+}
+
+func TestRegistriesConverge(t *testing.T) {
+	a, b := leaf.NewRegistry(&manual{}), leaf.NewRegistry(&manual{})
+	a.Hear(announcement("a", 1, 1, samphirepass.LeafServing), 0, true)
+	a.Hear(announcement("b", 1, 7, samphirepass.LeafServing), 0, true)
+	b.Hear(announcement("b", 1, 3, samphirepass.LeafDraining), 0, true)
+	for _, pair := range [][2]*leaf.Registry{{a, b}, {b, a}} {
+		for _, h := range pair[0].Table() {
+			pair[1].Hear(h.Announcement, h.AgeMs, false)
+		}
+	}
+	require.Equal(t, a.Digest(), b.Digest())
+}
+
+func known(name string, h ...samphirepass.Holding) leaf.Known {
+	return leaf.Known{Announcement: announcement(name, 1, 1, samphirepass.LeafServing, h...)}
+}
+
+func hold(snapshot samphirepass.Snapshot, shards int, shard samphirepass.Shard) samphirepass.Holding {
+	return samphirepass.Holding{Snapshot: snapshot, Shards: shards, Shard: shard}
+}
+
+func TestProofOneSnapshot(t *testing.T) {
+	tests := map[string]struct {
+		leaves   []leaf.Known
+		avoid    samphirepass.Snapshot
+		snapshot samphirepass.Snapshot
+		covered  int
+		total    int
+	}{
+		"none": {},
+		"the newest whole one": {
+			leaves:   []leaf.Known{known("a", hold(1, 2, 0), hold(2, 2, 0)), known("b", hold(1, 2, 1), hold(2, 2, 1))},
+			snapshot: 2, covered: 2, total: 2,
+		},
+		"an older whole one before a newer that lacks a shard": {
+			leaves:   []leaf.Known{known("a", hold(1, 2, 0), hold(2, 3, 0)), known("b", hold(1, 2, 1), hold(2, 3, 1))},
+			snapshot: 1, covered: 2, total: 2,
+		},
+		"the one with the most cover if none is whole": {
+			leaves:   []leaf.Known{known("a", hold(1, 3, 0), hold(2, 4, 0)), known("b", hold(1, 3, 1))},
+			snapshot: 1, covered: 2, total: 3,
+		},
+		"shards that nobody announced are missing": {
+			leaves: []leaf.Known{known("a", hold(1, 5, 0))}, snapshot: 1, covered: 1, total: 5,
+		},
+		"a leaf that knows of fewer shards does not make it whole": {
+			leaves: []leaf.Known{known("a", hold(1, 1, 0)), known("b", hold(1, 2, 1))}, snapshot: 1, covered: 1, total: 2,
+		},
+		"another than the retired one": {
+			leaves:   []leaf.Known{known("a", hold(1, 1, 0), hold(2, 1, 0))},
+			avoid:    2,
+			snapshot: 1, covered: 1, total: 1,
+		},
+		"a doubled holding counts once": {
+			leaves: []leaf.Known{known("a", hold(1, 2, 0), hold(1, 2, 0))}, snapshot: 1, covered: 1, total: 2,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := leaf.MakePlan(tt.leaves, tt.avoid)
+			require.Equal(t, tt.snapshot, p.Snapshot)
+			require.Equal(t, tt.covered, p.Covered())
+			require.Len(t, p.Shards, tt.total)
+		})
+	}
+}
+
+func TestProofSharesAddUpToTheLimit(t *testing.T) {
+	for _, limit := range []int{1, 7, 10, 30, 40, 120} {
+		for _, seats := range []int{1, 2, 3, 10, 40} {
+			for _, name := range []string{"a", "b", "member-register-3-1"} {
+				a := announcement(name, 1, 1, samphirepass.LeafServing)
+				a.Connections = limit
+				sum := 0
+				for seat := range seats {
+					sum += leaf.Share(a, seat, seats)
+				}
+				require.Equal(t, limit, sum, "limit %d seats %d", limit, seats)
+			}
+		}
+	}
+	require.Zero(t, leaf.Share(announcement("a", 1, 1, samphirepass.LeafServing), 0, 0))
+}
