--- a/policy/admit.go
+++ b/policy/admit.go
@@ -162,9 +162,14 @@
 
 // Congested reports whether requests wait for admission.
 func (l *Limiter) Congested() bool {
+	return l.Waiting() > 0
+}
+
+// Waiting counts the requests that wait for admission.
+func (l *Limiter) Waiting() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.waiters) > 0
+	return len(l.waiters)
 }
 
 // expectedWait estimates how long a new request of the given rank waits.
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,316 @@
+package policy_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"samphirepass"
+	"samphirepass/policy"
+)
+
+// manual is a clock that stands until it is moved.
+type manual struct{ now samphirepass.Millis }
+
+func (m *manual) Now() samphirepass.Millis  { return m.now }
+func (m *manual) Wall() samphirepass.Millis { return m.now }
+
+func candidate(change func(*samphirepass.Candidate)) samphirepass.Candidate {
+	c := samphirepass.Candidate{SameCentre: true, Slots: 3, LatencyMs: 10, LoadAgeMs: 1e9, WarmMs: 1e9, Share: 3, SinceFailureMs: 1e9}
+	change(&c)
+	return c
+}
+
+func TestScorePrefers(t *testing.T) {
+	plain := func(*samphirepass.Candidate) {}
+	tests := map[string]struct {
+		better, worse func(*samphirepass.Candidate)
+	}{
+		"the idle one":                            {plain, func(c *samphirepass.Candidate) { c.InFlight = 2 }},
+		"the fast one":                            {plain, func(c *samphirepass.Candidate) { c.LatencyMs = 30 }},
+		"the near one":                            {plain, func(c *samphirepass.Candidate) { c.SameCentre = false }},
+		"a far idle one before a near full one":   {func(c *samphirepass.Candidate) { c.SameCentre = false }, func(c *samphirepass.Candidate) { c.InFlight = 3 }},
+		"a warm one before a cold one":            {plain, func(c *samphirepass.Candidate) { c.WarmMs, c.LatencyMs = 0, 0 }},
+		"one whose last answer told of less load": {plain, func(c *samphirepass.Candidate) { c.Load, c.LoadAgeMs = 1, 5 }},
+		"its own figures before a health endpoint": {
+			func(c *samphirepass.Candidate) { c.ReportedLoad = 1 },
+			func(c *samphirepass.Candidate) { c.ReportedLoad, c.LatencyMs = 0, 50 },
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Less(t, policy.Score(candidate(tt.better), 10), policy.Score(candidate(tt.worse), 10))
+		})
+	}
+}
+
+// TestProofEjectionSparesMost tries random states of a shard's leaves: at least half and one stay in use.
+func TestProofEjectionSparesMost(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for range 5000 {
+		cs := make([]samphirepass.Candidate, 1+rnd.IntN(7))
+		for i := range cs {
+			cs[i] = candidate(func(c *samphirepass.Candidate) {
+				c.Failures = rnd.IntN(12)
+				c.SinceFailureMs = samphirepass.Millis(rnd.IntN(9000))
+			})
+		}
+		usable := policy.Usable(cs)
+		require.GreaterOrEqual(t, len(usable), len(cs)-(len(cs)-1)/2)
+		require.Subset(t, indices(len(cs)), usable)
+		for i, c := range cs {
+			if !policy.Ejected(c) {
+				require.Contains(t, usable, i)
+			}
+		}
+	}
+}
+
+func indices(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+// TestProofNoHerd lets ten entries without knowledge of each other choose among three leaves of which one looks idle.
+func TestProofNoHerd(t *testing.T) {
+	counts := map[int]int{}
+	for range 10_000 {
+		cs := []samphirepass.Candidate{
+			candidate(func(c *samphirepass.Candidate) { c.InFlight = 1 }),
+			candidate(func(c *samphirepass.Candidate) { c.InFlight = 1 }),
+			candidate(func(*samphirepass.Candidate) {}),
+		}
+		counts[policy.Scored{}.Choose(cs)]++
+	}
+	require.InDelta(t, 6667, counts[2], 300, "the idle leaf is in two of three draws")
+}
+
+func TestProofBudget(t *testing.T) {
+	const percent = 5
+	tests := map[string]struct {
+		act  func(clock *manual, b *policy.Tokens) int
+		most int
+	}{
+		"at most the percentage": {act: func(_ *manual, b *policy.Tokens) int {
+			return spend(b, 100, 100)
+		}, most: 100 * 100 * percent / 100},
+		"a quiet time saves up a burst only": {act: func(_ *manual, b *policy.Tokens) int {
+			spend(b, 1000, 0)
+			return spend(b, 1, 100)
+		}, most: 14},
+		"none while overloaded": {act: func(_ *manual, b *policy.Tokens) int {
+			b.Primary(1000)
+			b.Overload()
+			return spend(b, 10, 100)
+		}},
+		"open again after a while": {act: func(clock *manual, b *policy.Tokens) int {
+			b.Overload()
+			clock.now += 1001
+			return spend(b, 10, 100)
+		}, most: 50},
+		"none at all where many are refused": {act: func(_ *manual, b *policy.Tokens) int {
+			b.Primary(100)
+			n := 0
+			for range 100 {
+				b.Shed()
+				if b.TakeCheap() {
+					n++
+				}
+			}
+			return n
+		}, most: 16},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := &manual{now: 1e6}
+			got := tt.act(clock, policy.NewTokens(percent, clock))
+			require.LessOrEqual(t, got, tt.most)
+			if tt.most > 0 {
+				require.Positive(t, got)
+			}
+		})
+	}
+	require.Zero(t, spend(policy.NewTokens(0, &manual{}), 100, 100))
+}
+
+// spend sends rounds of 100 first attempts and asks for tries extra ones after each.
+func spend(b *policy.Tokens, rounds, tries int) int {
+	n := 0
+	for range rounds {
+		b.Primary(100)
+		for range tries {
+			if b.Take() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func TestQuantileFindsStragglers(t *testing.T) {
+	tests := map[string]struct {
+		stragglers int
+		lowest     samphirepass.Millis
+		highest    samphirepass.Millis
+	}{
+		"none":                       {0, 10, 12},
+		"1 in 100":                   {1, 10, 12},
+		"more than count as late":    {6, 10, 33},
+		"too few to tell is no hint": {-1, 0, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := policy.NewQuantile(5)
+			for i := range 1000 {
+				if tt.stragglers < 0 && i > 20 {
+					break
+				}
+				latency := samphirepass.Millis(10) + samphirepass.Millis(i%10)/10
+				if i%100 < tt.stragglers {
+					latency = 100
+				}
+				q.Observe(latency)
+			}
+			delay, ok := q.Delay()
+			require.Equal(t, tt.highest > 0, ok)
+			require.GreaterOrEqual(t, delay, tt.lowest)
+			require.LessOrEqual(t, delay, tt.highest)
+		})
+	}
+}
+
+func ticket(caller string, rank int, deadline samphirepass.Millis) samphirepass.Ticket {
+	return samphirepass.Ticket{Caller: samphirepass.Caller(caller), Rank: rank, DeadlineMs: deadline, Capacity: 2}
+}
+
+// fill admits requests until one would wait.
+func fill(t *testing.T, l *policy.Limiter) []samphirepass.Permit {
+	t.Helper()
+	var out []samphirepass.Permit
+	for range 3 {
+		p, err := l.Admit(nil, ticket("busy", 0, 1e6))
+		require.NoError(t, err)
+		out = append(out, p)
+	}
+	return out
+}
+
+// TestProofClassesInOrder frees one place at a time and looks who gets it.
+func TestProofClassesInOrder(t *testing.T) {
+	tests := map[string]struct {
+		waiting []samphirepass.Ticket
+		first   string
+	}{
+		"the first class before those who came earlier": {
+			[]samphirepass.Ticket{ticket("late", 2, 1e6), ticket("mid", 1, 1e6), ticket("first", 0, 1e6)}, "first",
+		},
+		"within a class the caller with the fewest running": {
+			[]samphirepass.Ticket{ticket("busy", 0, 1e6), ticket("quiet", 0, 1e6)}, "quiet",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := policy.NewLimiter(&manual{now: 1})
+			running := fill(t, l)
+			granted := make(chan string, len(tt.waiting))
+			for i, ticket := range tt.waiting {
+				go func() {
+					if _, err := l.Admit(nil, ticket); err == nil {
+						granted <- string(ticket.Caller)
+					}
+				}()
+				require.Eventually(t, func() bool { return l.Waiting() == i+1 }, 5e9, 1e6)
+			}
+			running[0].End(samphirepass.Outcome{})
+			require.Equal(t, tt.first, <-granted)
+		})
+	}
+}
+
+func TestProofRefusals(t *testing.T) {
+	closed := make(chan struct{})
+	close(closed)
+	tests := map[string]struct {
+		done     <-chan struct{}
+		deadline samphirepass.Millis
+		code     samphirepass.Code
+	}{
+		"no capacity within the deadline": {deadline: 50, code: samphirepass.CodeOverloaded},
+		"the deadline passes":             {done: closed, deadline: 1e6, code: samphirepass.CodeDeadline},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := &manual{now: 1}
+			l := policy.NewLimiter(clock)
+			for range 20 {
+				p, err := l.Admit(nil, ticket("a", 0, 1e6))
+				require.NoError(t, err)
+				clock.now += 40
+				p.End(samphirepass.Outcome{LatencyMs: 40, HalfMs: 40})
+			}
+			for i := range 4 {
+				if _, err := l.Admit(closed, ticket("a", 0, 1e6)); err != nil {
+					require.Positive(t, i)
+				}
+			}
+			_, err := l.Admit(tt.done, ticket("a", 0, tt.deadline))
+			require.Equal(t, tt.code, samphirepass.AsRefusal(err).Code)
+			require.True(t, samphirepass.AsRefusal(err).NotRun)
+			require.Zero(t, l.Waiting())
+		})
+	}
+}
+
+// TestProofLimitFollowsCapacity simulates leaves of a given capacity under five times their load, and then half of it.
+func TestProofLimitFollowsCapacity(t *testing.T) {
+	for _, capacity := range []int{1, 3, 30} {
+		t.Run(fmt.Sprint(capacity), func(t *testing.T) {
+			clock := &manual{now: 1}
+			l := policy.NewLimiter(clock)
+			type job struct {
+				permit samphirepass.Permit
+				end    samphirepass.Millis
+				began  samphirepass.Millis
+			}
+			var jobs []job
+			done := make(chan struct{})
+			close(done)
+			whole, most := 0, 0
+			for step := range 4000 {
+				clock.now++
+				kept := jobs[:0]
+				for _, j := range jobs {
+					if j.end > clock.now {
+						kept = append(kept, j)
+						continue
+					}
+					took := clock.now - j.began
+					j.permit.End(samphirepass.Outcome{LatencyMs: took, HalfMs: took, Shed: took > 100})
+					if step > 1000 && took <= 100 {
+						whole++
+					}
+				}
+				jobs = kept
+				for range 5*capacity/10 + 1 {
+					tk := ticket("a", 0, 100)
+					tk.Capacity = float64(capacity)
+					p, err := l.Admit(done, tk)
+					if err != nil {
+						break
+					}
+					// A leaf of ten steps a request slows down as it is shared.
+					slow := max(1, float64(len(jobs)+1)/float64(capacity))
+					jobs = append(jobs, job{permit: p, began: clock.now, end: clock.now + samphirepass.Millis(10*slow)})
+				}
+				most = max(most, len(jobs))
+			}
+			require.LessOrEqual(t, most, 2*capacity+1)
+			require.GreaterOrEqual(t, whole, 3000*capacity/10*8/10, "goodput collapsed")
+		})
+	}
+}
