--- a/standin/relay.go
+++ b/standin/relay.go
@@ -37,6 +37,8 @@
 	other Link
 	delay samphirepass.Millis
 	pairs map[*pair]bool
+	// bytes counts what was forwarded in both directions.
+	bytes int64
 }
 
 // pair is one relayed connection.
@@ -107,6 +109,13 @@
 	return len(r.pairs)
 }
 
+// Bytes returns how many bytes were read from either end.
+func (r *Relay) Bytes() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.bytes
+}
+
 // Close ends the relay and its connections.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
@@ -179,6 +188,7 @@
 		// Bytes lost on a link of TCP never come back, so the connection stays silent when the link heals.
 		p.silenced = p.silenced || r.link(p.from) == LinkSilent
 		silenced, delay := p.silenced, r.delay
+		r.bytes += int64(n)
 		r.mu.Unlock()
 		if silenced {
 			continue
