--- /dev/null
+++ b/examples/admission/main.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"samphirepass"
+	"samphirepass/policy"
+)
+
+func main() {
+	l := policy.NewLimiter(samphirepass.SystemClock{})
+	running, err := l.Admit(nil, ticket("public", 2))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	done := make(chan struct{})
+	for rank, name := range []samphirepass.Caller{"marshal", "secretary", "public"} {
+		go func() {
+			p, err := l.Admit(nil, ticket(name, rank))
+			if err == nil {
+				fmt.Println(name, "runs")
+				p.End(samphirepass.Outcome{})
+			}
+			done <- struct{}{}
+		}()
+	}
+	for l.Waiting() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	running.End(samphirepass.Outcome{})
+	for range 3 {
+		<-done
+	}
+}
+
+func ticket(c samphirepass.Caller, rank int) samphirepass.Ticket {
+	return samphirepass.Ticket{Caller: c, Rank: rank, DeadlineMs: 1000, Capacity: 0.5}
+}
--- a/leaf/book.go
+++ b/leaf/book.go
@@ -23,15 +23,14 @@
 	// shared is the version of the seats that the lanes were shared out by.
 	shared atomic.Uint64
 
-	mu           sync.Mutex
-	inFlight     int
-	latency      samphirepass.Millis
-	network      samphirepass.Millis
-	load         float64
-	loadAt       samphirepass.Millis
-	reportedLoad float64
-	failures     int
-	failedAt     samphirepass.Millis
+	mu       sync.Mutex
+	inFlight int
+	latency  samphirepass.Millis
+	network  samphirepass.Millis
+	load     float64
+	loadAt   samphirepass.Millis
+	failures int
+	failedAt samphirepass.Millis
 }
 
 // Shares tells how many connections this entry may hold.
@@ -118,7 +117,7 @@
 	c := samphirepass.Candidate{
 		Leaf: k.Leaf, SameCentre: k.DataCentre == centre, InFlight: t.inFlight, Slots: k.Slots, LatencyMs: t.latency,
 		Load: t.load, LoadAgeMs: now - t.loadAt, WarmMs: now - k.FirstMs, Failures: t.failures,
-		SinceFailureMs: now - t.failedAt, ReportedLoad: t.reportedLoad,
+		SinceFailureMs: now - t.failedAt,
 	}
 	t.mu.Unlock()
 	t.lanes.mu.Lock()
--- a/policy.go
+++ b/policy.go
@@ -24,8 +24,6 @@
 	Open int
 	// Share is the number of connections that this entry may hold to the leaf.
 	Share int
-	// ReportedLoad is the figure of the leaf's own health endpoint, which may lag or mislead.
-	ReportedLoad float64
 }
 
 // Chooser picks one of several leaves that hold the same shard and is safe for concurrent use.
