entry: Count an exchange only with an entry that has a configuration

Cause, found by reading: an entry that restarts forgets a change that it was counted for; a neighbour cut off from control took its empty state for 'nothing newer' and could serve with an old configuration beyond 3 s. Likewise a sync under way could take the seat again that a stopping entry had given up. Ruled out: acknowledgments of a former life (a new change is acknowledged anew). Change: an exchange counts only with a revision; seats remember the process that left; a stopping entry ends its controllers before it gives the seat up. White space does not make a run another request. Seen to fail: without the first, TestProofExchangeCounts fails in the case of an entry that has just started. After: it passes; TestProofGracefulStop, which now looks at the seats, and TestProofAtMostOnce passed once.

--- a/caller/run.go
+++ b/caller/run.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -41,8 +42,12 @@
 	return samphirepass.Millis(sec)*1000 + samphirepass.Millis(nsec)/1e6, nil
 }
 
-// digest covers everything that makes two requests with one key the same request.
+// digest covers everything that makes two requests with one key the same request, but for white space.
 func digest(service samphirepass.Service, r samphirepass.Run) uint64 {
+	var compact bytes.Buffer
+	if json.Compact(&compact, r.Body) == nil {
+		r.Body = compact.Bytes()
+	}
 	return xxhash.Sum64String(fmt.Sprintf("%q %q %q %q", service, r.Caller, r.Route, r.Body))
 }
 
--- a/control/messages.go
+++ b/control/messages.go
@@ -46,7 +46,9 @@
 	VM         samphirepass.VM
 	Address    string
 	DataCentre samphirepass.DataCentre
-	Have       samphirepass.Revision
+	// Process names this life of the entry process.
+	Process string
+	Have    samphirepass.Revision
 }
 
 // SyncReply is the configuration at a revision that a majority confirmed after the request came in.
--- a/control/serve.go
+++ b/control/serve.go
@@ -175,11 +175,14 @@
 	if !held || !n.ledger.Formed() {
 		return nil
 	}
-	change := ledger.SeatChange{VM: req.VM, Address: req.Address, DataCentre: req.DataCentre}
+	change := ledger.SeatChange{VM: req.VM, Address: req.Address, DataCentre: req.DataCentre, Process: req.Process}
 	_, result, err := n.Propose(ctx, ledger.Command{Seat: &change})
 	if err != nil {
 		return err
 	}
+	if result.Refused == samphirepass.CodeStopping {
+		return samphirepass.Refuse(result.Refused, "this process has given its seat up")
+	}
 	if result.Refused != "" {
 		return samphirepass.Refuse(result.Refused, "all %d seats are taken; release one of a VM that is gone", view.SeatCount)
 	}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/thejerf/suture/v4"
 
 	"samphirepass"
@@ -33,7 +34,9 @@
 
 // Entry is one entry process.
 type Entry struct {
-	cfg      settings.File
+	cfg settings.File
+	// process names this life of the process.
+	process  string
 	log      logs.Logger
 	board    *blackboard.Board
 	registry *leaf.Registry
@@ -54,12 +57,12 @@
 func NewEntry(cfg settings.File, log logs.Logger) (*Entry, error) {
 	clock := samphirepass.SystemClock{}
 	e := &Entry{
-		cfg: cfg, log: log, board: &blackboard.Board{}, registry: leaf.NewRegistry(clock),
+		cfg: cfg, process: uuid.NewString(), log: log, board: &blackboard.Board{}, registry: leaf.NewRegistry(clock),
 		metrics: platform.NewMetrics(), peers: &peer.Pool{From: cfg.PeerIP()},
 	}
 	e.client = control.NewClient(cfg.Members(), e.peers)
 	o := entry.Options{
-		VM: cfg.VM, Address: cfg.Peer, DataCentre: cfg.DataCentre, Board: e.board, Lease: &lease.Lease{},
+		VM: cfg.VM, Address: cfg.Peer, DataCentre: cfg.DataCentre, Process: e.process, Board: e.board, Lease: &lease.Lease{},
 		Control: e.client, Peers: e.peers, Clock: clock, Log: log.For("entry").Infof,
 	}
 	e.syncer = entry.NewSyncer(o)
@@ -168,15 +171,18 @@
 	finished := tree.ServeBackground(work)
 	log.Infof("Serving on %s.", e.api.Address())
 	<-ctx.Done()
-	err := e.stop(log)
+	err := e.finishRequests(log)
+	// Nothing may ask for the seat again once it is given up.
 	cancel()
 	<-finished
+	e.leaveSeat(log)
+	e.peers.Close()
 	log.Infof("Stopped.")
 	return err
 }
 
-// stop tells the balancer, waits for its notice, finishes the requests and gives up the seat.
-func (e *Entry) stop(log logs.Logger) error {
+// finishRequests tells the balancer, waits for its notice, and ends once every request is answered.
+func (e *Entry) finishRequests(log logs.Logger) error {
 	log.Infof("Stopping.")
 	e.board.Stopping.Set(true)
 	time.Sleep(e.cfg.BalancerNoticeMs.Duration())
@@ -185,10 +191,8 @@
 	err := e.api.Shutdown(ctx)
 	e.calls.Wait()
 	e.book.Close()
-	e.leaveSeat(log)
 	e.peerWS.Close()
 	_ = e.peerHTTP.Shutdown(ctx)
-	e.peers.Close()
 	if err != nil {
 		return fmt.Errorf("stop entry: %w", err)
 	}
@@ -198,7 +202,7 @@
 func (e *Entry) leaveSeat(log logs.Logger) {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeoutMs.Duration())
 	defer cancel()
-	change := ledger.SeatChange{VM: e.cfg.VM, Leave: true}
+	change := ledger.SeatChange{VM: e.cfg.VM, Process: e.process, Leave: true}
 	if _, err := e.client.Propose(ctx, ledger.Command{Seat: &change}); err != nil {
 		log.Errorf("Seat kept: %v.", err)
 	}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -147,7 +147,8 @@
 	if reply.Sync != nil {
 		r.o.Board.Config.Update(func(cfg blackboard.Config) (blackboard.Config, bool) { return Apply(cfg, have, *reply.Sync) })
 	}
-	if r.o.Board.Config.Value().Revision >= reply.Revision {
+	// An entry that has just started may have forgotten a change that it was counted for.
+	if reply.Revision > 0 && r.o.Board.Config.Value().Revision >= reply.Revision {
 		r.o.Lease.Peer(s.VM, sent)
 	}
 }
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -26,11 +26,13 @@
 	VM         samphirepass.VM
 	Address    string
 	DataCentre samphirepass.DataCentre
-	Board      *blackboard.Board
-	Lease      *lease.Lease
-	Control    *control.Client
-	Peers      *peer.Pool
-	Clock      samphirepass.Clock
+	// Process names this life of the process.
+	Process string
+	Board   *blackboard.Board
+	Lease   *lease.Lease
+	Control *control.Client
+	Peers   *peer.Pool
+	Clock   samphirepass.Clock
 	// Log takes one line for each notable event; nil drops them.
 	Log func(format string, args ...any)
 }
@@ -69,7 +71,7 @@
 	have := s.o.Board.Config.Value().Revision
 	sent := s.o.Clock.Now()
 	reply, err := s.o.Control.Sync(ctx, control.SyncRequest{
-		VM: s.o.VM, Address: s.o.Address, DataCentre: s.o.DataCentre, Have: have,
+		VM: s.o.VM, Address: s.o.Address, DataCentre: s.o.DataCentre, Process: s.o.Process, Have: have,
 	})
 	if err != nil {
 		return fmt.Errorf("sync with control: %w", err)
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -44,7 +44,9 @@
 	VM         samphirepass.VM
 	Address    string
 	DataCentre samphirepass.DataCentre
-	Leave      bool
+	// Process names one life of the entry process; one that has left takes no seat again.
+	Process string
+	Leave   bool
 }
 
 // Form ends the forming of a new log.
--- a/ledger/seat.go
+++ b/ledger/seat.go
@@ -10,8 +10,12 @@
 func (s *State) applySeat(index samphirepass.Revision, c SeatChange) samphirepass.Code {
 	i := slices.IndexFunc(s.c.Seats, func(one Seat) bool { return one.VM == c.VM })
 	if c.Leave {
+		s.c.Left[c.VM] = c.Process
 		return s.leaveSeat(index, i)
 	}
+	if c.Process != "" && s.c.Left[c.VM] == c.Process {
+		return samphirepass.CodeStopping
+	}
 	if i >= 0 {
 		s.c.Seats[i].Address = c.Address
 		s.c.Seats[i].DataCentre = c.DataCentre
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -42,6 +42,8 @@
 	// PurgedMs is the newest key time among the purged run records of a service.
 	PurgedMs map[samphirepass.Service]samphirepass.Millis
 	Seats    []Seat
+	// Left names the process of each VM that gave its seat up last.
+	Left map[samphirepass.VM]string
 }
 
 // State is the replicated state and is safe for concurrent use.
@@ -69,6 +71,9 @@
 	if c.Runs == nil {
 		c.Runs = map[samphirepass.RunKey]samphirepass.RunRecord{}
 	}
+	if c.Left == nil {
+		c.Left = map[samphirepass.VM]string{}
+	}
 	if c.PurgedMs == nil {
 		c.PurgedMs = map[samphirepass.Service]samphirepass.Millis{}
 	}
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -178,7 +178,7 @@
 	return err
 }
 
-// cmdAwait: await ready ENTRY | unready ENTRY | leaves ENTRY SERVICE N | voters N | leader.
+// cmdAwait: await ready ENTRY | unready ENTRY | leaves ENTRY SERVICE N | voters N | seats N | leader.
 func cmdAwait(s *system, args []string) error {
 	switch args[0] {
 	case "ready":
@@ -188,6 +188,12 @@
 	case "leaves":
 		n, _ := strconv.Atoi(args[3])
 		return await("leaves", func() bool { return s.covered(args[1], samphirepass.Service(args[2]), n) })
+	case "seats":
+		n, _ := strconv.Atoi(args[1])
+		return await("seats", func() bool {
+			leader, ok := s.leader()
+			return ok && len(leader.Seats) == n
+		})
 	case "voters":
 		n, _ := strconv.Atoi(args[1])
 		return await("voters", func() bool { return s.voters() == n })
