--- a/leaf/gather_test.go
+++ b/leaf/gather_test.go
@@ -16,13 +16,12 @@
 	"samphirepass/policy"
 )
 
-// script answers attempts as a test lays down.
+// scripted answers attempts as a test lays down.
 type scripted struct {
 	mu sync.Mutex
 	// answer is called with the leaf and the number of attempts that it has had.
 	answer func(ctx context.Context, to samphirepass.Leaf, n int, a samphirepass.Attempt) (samphirepass.Reply, error)
 	counts map[samphirepass.Leaf]int
-	total  int
 }
 
 func (s *scripted) Send(ctx context.Context, to samphirepass.Announcement, a samphirepass.Attempt) (samphirepass.Reply, error) {
@@ -32,11 +31,16 @@
 	}
 	n := s.counts[to.Leaf]
 	s.counts[to.Leaf]++
-	s.total++
 	s.mu.Unlock()
 	return s.answer(ctx, to.Leaf, n, a)
 }
 
+func (s *scripted) count(of samphirepass.Leaf) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts[of]
+}
+
 func good(a samphirepass.Attempt) samphirepass.Reply {
 	body, _ := json.Marshal([]samphirepass.Item{{Score: float64(a.Shard), Value: json.RawMessage(fmt.Sprint(a.Snapshot))}})
 	return samphirepass.Reply{Body: body}
@@ -186,7 +190,7 @@
 			for range 200 {
 				_, err := g.Gather(t.Context(), request(tt.budget))
 				require.NoError(t, err)
-				if s.counts["1-0"] >= 60 {
+				if s.count("1-0") >= 60 {
 					break
 				}
 			}
@@ -194,10 +198,10 @@
 			r.Congested = tt.congested
 			hung := false
 			for range 40 {
-				before := s.counts["1-0"]
+				before := s.count("1-0")
 				got, err := g.Gather(t.Context(), r)
 				require.NoError(t, err)
-				if s.counts["1-0"] > before {
+				if s.count("1-0") > before {
 					hung = true
 					require.Equal(t, tt.whole, got.Coverage.Whole())
 					break
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -13,12 +12,10 @@
 	"syscall"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"samphirepass"
 	"samphirepass/bench"
-	"samphirepass/caller"
 	"samphirepass/operator"
 	"samphirepass/settings"
 	"samphirepass/standin"
@@ -112,52 +109,6 @@
 	return nil
 }
 
-// cmdLeaves: leaves SERVICE SHARDS REPLICAS [work=MS] [slots=N] [relay=1] [snapshot=N] starts stand-ins.
-func cmdLeaves(s *system, args []string) error {
-	shards, _ := strconv.Atoi(args[1])
-	replicas, _ := strconv.Atoi(args[2])
-	o := options(args[3:])
-	fleet := bench.Fleet{
-		Service: samphirepass.Service(args[0]), Shards: shards, Replicas: replicas, Slots: number(o, "slots", 3),
-		Connections: number(o, "connections", 30), WorkMs: samphirepass.Millis(number(o, "work", 2)),
-	}
-	w := bench.Workload{DataCentres: []samphirepass.DataCentre{"derby"}}
-	snapshot := samphirepass.Snapshot(number(o, "snapshot", 1))
-	for _, lo := range fleet.Leaves(w, snapshot, s.entryAPIs(), 1) {
-		lo.AnnounceMs = 300
-		if o["relay"] == "1" {
-			if err := s.relayLeaf(&lo); err != nil {
-				return err
-			}
-		}
-		l, err := standin.Start(lo)
-		if err != nil {
-			return err
-		}
-		s.leaves = append(s.leaves, l)
-	}
-	return nil
-}
-
-// relayLeaf lets a leaf be reached through a relay only.
-func (s *system) relayLeaf(o *standin.Options) error {
-	address, err := freePort("127.0.3.1")
-	if err != nil {
-		return err
-	}
-	seen, err := freePort("127.0.3.2")
-	if err != nil {
-		return err
-	}
-	relay, err := standin.NewRelay(seen, address)
-	if err != nil {
-		return err
-	}
-	s.relays[o.Leaf] = relay
-	o.Address, o.Advertise = address, seen
-	return nil
-}
-
 // cmdDeclare: declare ENTRY SERVICE [partial=refused] [deadline=MS] applies a service and the caller marshal.
 func cmdDeclare(s *system, args []string) error {
 	o := options(args[2:])
@@ -265,213 +216,6 @@
 	return nil
 }
 
-func (s *system) bench(entry string) bench.Client {
-	return bench.Client{Address: s.processes[entry].settings.API, HTTP: s.http}
-}
-
-// cmdQuery: query ENTRY SERVICE whole|partial|CODE [snapshot=N] [missing=N] [caller=NAME] sends one query and checks its answer.
-func cmdQuery(s *system, args []string) error {
-	o := options(args[3:])
-	from := samphirepass.Caller(marshal)
-	if o["caller"] != "" {
-		from = samphirepass.Caller(o["caller"])
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), awaitTimeout)
-	defer cancel()
-	query := json.RawMessage(fmt.Sprintf(`{"n":%d}`, time.Now().UnixNano()))
-	a, err := s.bench(args[0]).Query(ctx, samphirepass.Service(args[1]), samphirepass.Query{Caller: from, Query: query})
-	got := "partial"
-	if r := samphirepass.AsRefusal(err); r != nil {
-		got = string(r.Code)
-	} else if err != nil {
-		return err
-	} else if a.Whole {
-		got = "whole"
-	}
-	if err == nil {
-		if wrong := bench.Check(query, a); wrong != nil {
-			return wrong
-		}
-	}
-	if !slices.Contains(strings.Split(args[2], "|"), got) {
-		return fmt.Errorf("got %s, want %s: %w", got, args[2], err)
-	}
-	if n := number(o, "missing", len(a.Coverage.Missing)); n != len(a.Coverage.Missing) {
-		return fmt.Errorf("missing %v, want %d", a.Coverage.Missing, n)
-	}
-	if n := number(o, "snapshot", int(a.Snapshot)); n != int(a.Snapshot) {
-		return fmt.Errorf("snapshot %d, want %d", a.Snapshot, n)
-	}
-	return nil
-}
-
-func (s *system) key(name string) samphirepass.RunKey {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.keys[name] == "" {
-		s.keys[name] = samphirepass.RunKey(uuid.Must(uuid.NewV7()).String())
-	}
-	return s.keys[name]
-}
-
-// cmdRun: run ENTRY SERVICE KEY STATE-OR-CODE [body=N] [deadline=MS] sends a run and checks what is told of it.
-func cmdRun(s *system, args []string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), awaitTimeout)
-	defer cancel()
-	o := options(args[4:])
-	run := samphirepass.Run{
-		Caller: marshal, Key: s.key(args[2]), Route: "channel-7", DeadlineMs: samphirepass.Millis(number(o, "deadline", 0)),
-		Body: json.RawMessage(fmt.Sprintf(`{"slot":%d}`, number(o, "body", 1))),
-	}
-	var answer caller.RunAnswer
-	err := s.bench(args[0]).Run(ctx, samphirepass.Service(args[1]), run, &answer)
-	got := string(answer.State)
-	r := samphirepass.AsRefusal(err)
-	if r != nil {
-		got = string(r.Code)
-		if r.NotRun {
-			got += "/not-run"
-		}
-	} else if err != nil {
-		got = "connection-lost"
-	}
-	if slices.Contains(strings.Split(args[3], "|"), got) {
-		return nil
-	}
-	return fmt.Errorf("got %s, want %s: %w", got, args[3], err)
-}
-
-// cmdRan: ran KEY N checks how often the leaves have run a key.
-func cmdRan(s *system, args []string) error {
-	want, _ := strconv.Atoi(args[1])
-	n := 0
-	for _, l := range s.leaves {
-		n += l.Counts().Runs[s.key(args[0])]
-	}
-	if n != want {
-		return fmt.Errorf("key %s ran %d times, want %d", args[0], n, want)
-	}
-	return nil
-}
-
-// cmdState: state ENTRY KEY STATE waits until the key's record has a state.
-func cmdState(s *system, args []string) error {
-	var last string
-	err := await("state "+args[2], func() bool {
-		resp, err := s.http.Get("http://" + s.processes[args[0]].settings.API + "/v1/runs/" + string(s.key(args[1])))
-		if err != nil {
-			return false
-		}
-		defer resp.Body.Close()
-		var a caller.RunAnswer
-		_ = json.NewDecoder(resp.Body).Decode(&a)
-		last = string(a.State)
-		return last == args[2]
-	})
-	if err != nil {
-		return fmt.Errorf("state %q: %w", last, err)
-	}
-	return nil
-}
-
-// cmdFault: fault LEAF|SERVICE|all KIND... makes the leaves of that name misbehave; KIND none mends them.
-func cmdFault(s *system, args []string) error {
-	return s.eachLeaf(args[0], func(l *standin.Leaf) error {
-		f, err := faults(args[1:])
-		l.SetFaults(f)
-		return err
-	})
-}
-
-func faults(kinds []string) (standin.Faults, error) {
-	var f standin.Faults
-	set := map[string]*bool{
-		"partial": &f.PartialAnswers, "wrong-shard": &f.WrongShard, "wrong-snapshot": &f.WrongSnapshot,
-		"crossed": &f.CrossedAnswers, "bad-digest": &f.BadDigest, "truncated": &f.Truncated, "drop": &f.DropAfterRead,
-		"redirect": &f.Redirect, "silent": &f.Silent, "refuse-runs": &f.RefuseRuns, "none": new(bool),
-	}
-	for _, k := range kinds {
-		if set[k] == nil {
-			return f, fmt.Errorf("no fault %q", k)
-		}
-		*set[k] = true
-	}
-	return f, nil
-}
-
-func (s *system) eachLeaf(name string, f func(*standin.Leaf) error) error {
-	found := false
-	for _, l := range s.leaves {
-		if name != "all" && string(l.Name()) != name && !strings.HasPrefix(string(l.Name()), name+"-") {
-			continue
-		}
-		found = true
-		if err := f(l); err != nil {
-			return err
-		}
-	}
-	if !found {
-		return fmt.Errorf("no leaf %q", name)
-	}
-	return nil
-}
-
-// cmdLeaf: leaf NAME drain|drain-to ENTRY|forget-drain|idle-after-drain|stop|silence-open|hold SNAPSHOT:SHARDS:SHARD,... acts on leaves.
-func cmdLeaf(s *system, args []string) error {
-	return s.eachLeaf(args[0], func(l *standin.Leaf) error {
-		switch args[1] {
-		case "drain":
-			l.Drain(context.Background())
-		case "drain-to":
-			return l.DrainTo(context.Background(), s.processes[args[2]].settings.API)
-		case "idle-after-drain":
-			if n := l.Counts().WhileDraining; n > 0 {
-				return fmt.Errorf("leaf %s got %d requests after it announced that it drains", l.Name(), n)
-			}
-		case "forget-drain":
-			l.ForgetDrainCount()
-		case "stop":
-			l.Stop()
-		case "silence-open":
-			s.relays[l.Name()].SilenceOpen()
-		case "hold":
-			l.SetHoldings(holdings(args[2]))
-		default:
-			return fmt.Errorf("no action %q", args[1])
-		}
-		return nil
-	})
-}
-
-func holdings(arg string) []samphirepass.Holding {
-	var out []samphirepass.Holding
-	for _, one := range strings.Split(arg, ",") {
-		var h samphirepass.Holding
-		if _, err := fmt.Sscanf(one, "%d:%d:%d", &h.Snapshot, &h.Shards, &h.Shard); err == nil {
-			out = append(out, h)
-		}
-	}
-	return out
-}
-
-// cmdChange: change ENTRY COUNT applies COUNT changes of the caller marshal-N, one after the other.
-func cmdChange(s *system, args []string) error {
-	n, _ := strconv.Atoi(args[1])
-	ctx, cancel := context.WithTimeout(context.Background(), 2*awaitTimeout)
-	defer cancel()
-	for i := range n {
-		name := fmt.Sprintf("marshal-%d", i%7)
-		answer, err := s.operator(args[0]).Apply(ctx, samphirepass.KindCaller, name, samphirepass.CallerSpec{Class: "flight-line"})
-		if err != nil {
-			return fmt.Errorf("change %d: %w", i, err)
-		}
-		s.mu.Lock()
-		s.accepted = append(s.accepted, answer.Revision)
-		s.mu.Unlock()
-	}
-	return nil
-}
-
 // cmdSpare: spare NAME prepares a further control VM, which is started later.
 func cmdSpare(s *system, args []string) error {
 	p, err := s.prepare(args[0], len(s.names)+1, true)
@@ -550,34 +294,3 @@
 	time.Sleep(d)
 	return err
 }
-
-// cmdInForce: inforce ENTRY CALLER waits until the entry serves with a caller declared.
-func cmdInForce(s *system, args []string) error {
-	return await(args[1]+" in force at "+args[0], func() bool {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		q := samphirepass.Query{Caller: samphirepass.Caller(args[1]), Query: json.RawMessage(`{}`)}
-		_, err := s.bench(args[0]).Query(ctx, "desk", q)
-		r := samphirepass.AsRefusal(err)
-		return err == nil || (r != nil && r.Code != samphirepass.CodeUnknownCaller && r.Code != samphirepass.CodeStale)
-	})
-}
-
-// cmdCommits: commits ENTRY NAME applies one caller and fails unless it is accepted in time.
-func cmdCommits(s *system, args []string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	_, err := s.operator(args[0]).Apply(ctx, samphirepass.KindCaller, args[1], samphirepass.CallerSpec{Class: "flight-line"})
-	return err
-}
-
-// cmdShare: share LIMIT fails if any leaf ever had more than LIMIT connections.
-func cmdShare(s *system, args []string) error {
-	limit, _ := strconv.ParseInt(args[0], 10, 64)
-	for _, l := range s.leaves {
-		if c := l.Counts(); c.MaxConnections > limit || c.OverLimit > 0 {
-			return fmt.Errorf("leaf %s had %d connections, %d over its limit", l.Name(), c.MaxConnections, c.OverLimit)
-		}
-	}
-	return nil
-}
