policy: Keep a reserve of the budget for lost attempts

When the leaves died, hedges had just used up the tokens with which the attempts under way could have been sent again. Ruled out: attempts that never left (they are free), ejection (all partial answers fell into the first moment). Change: 16 tokens can be saved, and hedges leave 8 of them.

--- a/leaf/gather.go
+++ b/leaf/gather.go
@@ -382,7 +382,7 @@
 		if !f.hedgeable(i) || now-f.shards[i].hedgeFrom < delay {
 			continue
 		}
-		if !f.extraAttempt(i, f.budget.Take) {
+		if !f.extraAttempt(i, f.budget.TakeHedge) {
 			// Without budget the shard is looked at again after another delay.
 			f.shards[i].hedgeFrom = now
 		}
--- a/policy.go
+++ b/policy.go
@@ -44,8 +44,10 @@
 type Budget interface {
 	// Primary records n first attempts.
 	Primary(n int)
-	// Take asks for one extra attempt.
+	// Take asks for one extra attempt in place of a lost one.
 	Take() bool
+	// TakeHedge asks for one extra attempt beside one that is late.
+	TakeHedge() bool
 	// TakeCheap asks for one in place of an attempt that a leaf refused without working on it.
 	TakeCheap() bool
 	// Shed records a first attempt that a leaf refused.
--- a/policy/budget.go
+++ b/policy/budget.go
@@ -8,7 +8,9 @@
 
 const (
 	// budgetBurst is the number of extra attempts that may be saved up, beside those that the last query earned.
-	budgetBurst = 8
+	budgetBurst = 16
+	// hedgeReserve is the part of them that hedges leave for retries, which decide whether a shard is answered at all.
+	hedgeReserve = 8
 	// shedWindow is the number of first attempts over which the share of shed ones is judged.
 	shedWindow = 200
 	// shedPercent is the share of shed attempts above which the service counts as overloaded.
@@ -57,6 +59,13 @@
 	return t.clock.Now() >= t.busyUntil && t.spend(1)
 }
 
+// TakeHedge spends one token beyond the reserve, if there is one and the budget is open.
+func (t *Tokens) TakeHedge() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tokens >= hedgeReserve+1 && t.clock.Now() >= t.busyUntil && t.spend(1)
+}
+
 // TakeCheap spends a part of a token, if there is as much and the budget is open.
 func (t *Tokens) TakeCheap() bool {
 	t.mu.Lock()
