--- /dev/null
+++ b/capacity/rows.go
@@ -0,0 +1,69 @@
+package capacity
+
+import "math"
+
+// SlopeOrder is the order in which slopes are shown.
+func SlopeOrder() []string {
+	return []string{
+		"leaf-request", "query", "connection-memory", "announcement-cpu", "announcement-bytes", "announcement-memory",
+		"entry-cpu", "entry-bytes", "leader-cpu", "leader-bytes", "in-force", "watch-cpu", "watch-memory", "run-cpu",
+		"recovery-log", "yardstick-http", "yardstick-sync",
+	}
+}
+
+// Rows works the table out from the slopes.
+func Rows(s map[string]Slope) []Row {
+	v := func(name string) float64 { return s[name].Value }
+	return append(append(entryRows(v), controlRows(v)...), leafRows()...)
+}
+
+const (
+	announceTree = "each node hears only the leaves that it holds connections to, through relays by service (not built)"
+	relayTree    = "a tree of relays of fan-out 16 under 9 control VMs, with acknowledgments added up on the way (not built)"
+	holders      = "each leaf's connections are held by a few nodes, and a query goes through the holders of its shards (not built)"
+)
+
+func entryRows(v func(string) float64) []Row {
+	perNode := float64(QueriesPerSecond) / Nodes
+	leafRequests := perNode * LeavesPerQuery
+	held := float64(Leaves) * connectionsPerLeaf / Nodes
+	memory := v("announcement-memory")*Leaves + v("connection-memory")*held
+	return []Row{
+		{"entry", "processor for leaf requests", leafRequests * v("leaf-request") / 1e6, 0, "cores", "leaf-request", "fan-out over kept connections (built)"},
+		{"entry", "processor for queries beside them", perNode * v("query") / 1e6, 0, "cores", "query", "one goroutine a query (built)"},
+		{"entry", "connections to leaves that it may hold", held, 0, "connections", "arithmetic", holders},
+		{"entry", "processor for announcements, if it hears all", Leaves * v("announcement-cpu"), ControlCorePct, "% of a core", "announcement-cpu", announceTree},
+		{"entry", "bytes for announcements, if it hears all", Leaves * v("announcement-bytes"), ControlKBps, "KB/s", "announcement-bytes", announceTree},
+		{"entry", "memory for announcements and connections", memory, ControlMB, "MB", "announcement-memory, connection-memory", announceTree},
+		{"entry", "processor for exchanges with all others", Nodes * v("entry-cpu"), ControlCorePct, "% of a core", "entry-cpu", relayTree},
+		{"entry", "bytes for exchanges with all others", Nodes * v("entry-bytes"), ControlKBps, "KB/s", "entry-bytes", relayTree},
+	}
+}
+
+func controlRows(v func(string) float64) []Row {
+	changes := float64(ChangesPerDay) / secondsPerDay
+	seats := 2 * float64(RestartedPerDay+FailedPerDay) / secondsPerDay
+	depth := math.Ceil(math.Log(float64(Nodes)/ControlVMs) / math.Log(treeFanOut))
+	return []Row{
+		{"control", "processor of the leader for syncs of all nodes", Nodes * v("leader-cpu"), 100, "% of a core", "leader-cpu", relayTree},
+		{"control", "bytes of the leader for syncs of all nodes", Nodes * v("leader-bytes"), 0, "KB/s", "leader-bytes", relayTree},
+		{"control", "time from a change's sending to in force everywhere", Nodes * v("in-force"), InForceSeconds * 1000, "ms", "in-force", relayTree},
+		{"control", "the same through a tree, in rounds", depth + 1, 0, "rounds", "arithmetic", relayTree},
+		{"control", "changes", changes, 0, "a second", "arithmetic", "one replicated log (built)"},
+		{"control", "processor of the leader for changes, each taken as a run", changes * v("run-cpu") / 1e4, 100, "% of a core", "run-cpu", "one replicated log (built)"},
+		{"control", "seat changes for restarts and failures", seats, 0, "a second", "arithmetic", "seats in the log, one change at a time (built)"},
+		{"control", "runs a second that fill one core of the leader", 1e6 / v("run-cpu"), 0, "a second", "run-cpu", "several logs, divided by a hash of the key (not built)"},
+		{"control", "reading a day's changes back without snapshots", ChangesPerDay * v("recovery-log"), 0, "ms", "recovery-log", "a snapshot each 1000 entries (built)"},
+	}
+}
+
+func leafRows() []Row {
+	perLeaf := float64(QueriesPerSecond) * LeavesPerQuery / Leaves
+	lateAllowed := 1 - math.Pow(0.99, 1.0/LeavesPerQuery)
+	const stragglers = 0.01
+	return []Row{
+		{"leaf", "requests that it must answer", perLeaf, slotsPerLeaf * 1000 / workMs, "a second", "arithmetic", "leaves that answer many queries at once (the users' side)"},
+		{"leaf", "nodes that want a connection to it", Nodes, connectionsPerLeaf, "connections", "arithmetic", holders},
+		{"query", "late shards with one hedge at 1 % stragglers", stragglers * stragglers * 1e5, lateAllowed * 1e5, "in 100,000", "arithmetic", "a second hedge for each shard: 0.1 in 100,000 (not built)"},
+	}
+}
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -2,20 +2,12 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
 
-	"github.com/jessevdk/go-flags"
-
 	"samphirepass/bench"
 	"samphirepass/policy"
-)
-
-// Exit statuses.
-const (
-	exitFailure = 1
-	exitUsage   = 2
+	"samphirepass/shell"
 )
 
 type options struct {
@@ -26,20 +18,7 @@
 }
 
 func main() {
-	var o options
-	_, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).Parse()
-	var flagError *flags.Error
-	switch {
-	case err == nil:
-	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
-		fmt.Println(err)
-	case errors.As(err, &flagError):
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitUsage)
-	default:
-		fmt.Fprintln(os.Stderr, "bench:", err)
-		os.Exit(exitFailure)
-	}
+	os.Exit(shell.Run("bench", &options{}, os.Args[1:]))
 }
 
 func printLine(v any) error {
--- a/control/fault_test.go
+++ b/control/fault_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -22,6 +25,8 @@
 type faulty struct {
 	*disk.Folder
 	failSync, failWrite atomic.Bool
+	// holdSnapshots, if set, holds the writing of snapshots up until it is closed.
+	holdSnapshots chan struct{}
 }
 
 type faultyFile struct {
@@ -32,6 +37,9 @@
 var errFault = eris.New("no space left on device")
 
 func (f *faulty) Append(name string) (samphirepass.File, error) {
+	if f.holdSnapshots != nil && name == "new-snapshot" {
+		<-f.holdSnapshots
+	}
 	file, err := f.Folder.Append(name)
 	return &faultyFile{File: file, folder: f}, err
 }
@@ -58,20 +66,12 @@
 	}
 	for name, harm := range tests {
 		t.Run(name, func(t *testing.T) {
-			folder, err := disk.OpenFolder(t.TempDir())
-			require.NoError(t, err)
-			files := &faulty{Folder: folder}
-			node := control.NewNode(control.Options{
-				VM: "a", Address: "127.0.0.1:1", Members: []quorum.Member{{VM: "a", Address: "127.0.0.1:1"}}, Seats: 1,
-				Files: files, Clock: samphirepass.SystemClock{}, Peers: &peer.Pool{},
-			})
-			ended := make(chan error, 1)
-			go func() { ended <- node.Serve(t.Context()) }()
+			files := &faulty{}
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
-			require.Eventually(t, func() bool { return propose(ctx, node, "first") == nil }, 10*time.Second, 10*time.Millisecond)
+			node, ended := single(ctx, t, files)
 			harm(files)
-			err = propose(ctx, node, "second")
+			err := propose(ctx, node, "second")
 			require.Error(t, err)
 			require.False(t, samphirepass.AsRefusal(err).NotRun, "what failed to sync may yet be read back")
 			require.ErrorIs(t, <-ended, errFault)
@@ -81,6 +81,39 @@
 	}
 }
 
+// single runs the only member of a log until ctx ends.
+func single(ctx context.Context, t *testing.T, files *faulty) (*control.Node, chan error) {
+	t.Helper()
+	var err error
+	files.Folder, err = disk.OpenFolder(t.TempDir())
+	require.NoError(t, err)
+	node := control.NewNode(control.Options{
+		VM: "a", Address: "127.0.0.1:1", Members: []quorum.Member{{VM: "a", Address: "127.0.0.1:1"}}, Seats: 1,
+		Files: files, Clock: samphirepass.SystemClock{}, Peers: &peer.Pool{}, SnapshotEntries: 10,
+	})
+	ended := make(chan error, 1)
+	go func() { ended <- node.Serve(ctx) }()
+	require.Eventually(t, func() bool { return propose(ctx, node, "first") == nil }, 10*time.Second, 10*time.Millisecond)
+	return node, ended
+}
+
+// TestProofSnapshotDoesNotStopTheMember holds the writing of a snapshot up and goes on changing resources.
+func TestProofSnapshotDoesNotStopTheMember(t *testing.T) {
+	files := &faulty{holdSnapshots: make(chan struct{})}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	node, _ := single(ctx, t, files)
+	for i := range 100 {
+		require.NoError(t, propose(ctx, node, fmt.Sprint(i)))
+	}
+	close(files.holdSnapshots)
+	require.Eventually(t, func() bool {
+		names, err := files.List()
+		return err == nil && slices.ContainsFunc(names, func(n string) bool { return strings.HasPrefix(n, "snapshot-") })
+	}, 10*time.Second, 10*time.Millisecond)
+	require.NoError(t, propose(ctx, node, "last"))
+}
+
 // propose changes one resource and returns an error unless it was accepted.
 func propose(ctx context.Context, node *control.Node, name string) error {
 	change := &samphirepass.Change{ID: samphirepass.ChangeID(name), Kind: samphirepass.KindCaller, Name: name, Spec: json.RawMessage(`{}`)}
--- a/control/linear_test.go
+++ b/control/linear_test.go
@@ -36,7 +36,7 @@
 	done   chan struct{}
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -44,7 +44,7 @@
 	return l.Addr().String()
 }
 
-func startMembers(t *testing.T, n int) []*running {
+func startMembers(t testing.TB, n int) []*running {
 	t.Helper()
 	var members []quorum.Member
 	var out []*running
@@ -73,7 +73,7 @@
 	return out
 }
 
-func (r *running) start(t *testing.T) {
+func (r *running) start(t testing.TB) {
 	t.Helper()
 	r.o.Peers = &peer.Pool{From: r.ip}
 	node := control.NewNode(r.o)
@@ -249,7 +249,7 @@
 }
 
 // awaitFormed returns once a change is accepted.
-func awaitFormed(t *testing.T, members []quorum.Member) {
+func awaitFormed(t testing.TB, members []quorum.Member) {
 	t.Helper()
 	peers := &peer.Pool{}
 	defer peers.Close()
--- a/control/loop.go
+++ b/control/loop.go
@@ -39,6 +39,9 @@
 	// confirmed are reads that wait for their index to be applied.
 	confirmed []confirmedRead
 	ticks     int
+	// writing is set while a snapshot is written, failed once one could not be.
+	writing bool
+	failed  error
 }
 
 type confirmedRead struct {
@@ -130,7 +133,7 @@
 	for {
 		r := l.core.Ready()
 		if r.Empty() {
-			return nil
+			return l.failed
 		}
 		if err := l.save(r); err != nil {
 			return err
@@ -141,9 +144,7 @@
 		}
 		l.finishReads(r)
 		l.core.Advance(r)
-		if err := l.compact(); err != nil {
-			return err
-		}
+		l.compact()
 	}
 }
 
@@ -233,18 +234,49 @@
 	l.confirmed = rest
 }
 
-// compact takes a snapshot once the log has grown long.
-func (l *loop) compact() error {
-	if l.core.LogLength() < l.node.o.SnapshotEntries || l.applied <= l.snapshot.Index {
-		return nil
+// recordsPerEntry is the number of records that a snapshot may write for each entry that it takes out of the log.
+const recordsPerEntry = 4
+
+// compact starts a snapshot once the log has grown in proportion to the state, so that its cost for each entry stays the same.
+// It is encoded and written beside the loop, which must not stand still for longer than an election timeout.
+func (l *loop) compact() {
+	due := max(l.node.o.SnapshotEntries, l.node.ledger.Size()/recordsPerEntry)
+	if l.writing || l.core.LogLength() < due || l.applied <= l.snapshot.Index {
+		return
 	}
-	data, err := l.node.ledger.Snapshot()
+	l.writing = true
+	snapshot, frozen := l.core.SnapshotAt(l.applied), l.node.ledger.Freeze()
+	go func() {
+		err := l.write(&snapshot, frozen)
+		// A node that has ended needs no snapshot.
+		_ = l.node.do(context.Background(), func(l *loop) { l.written(snapshot, err) })
+	}()
+}
+
+func (l *loop) write(snapshot *quorum.Snapshot, frozen ledger.Frozen) error {
+	data, err := frozen.Encode()
 	if err != nil {
 		return fmt.Errorf("take snapshot: %w", err)
 	}
-	l.snapshot = l.core.Compact(l.applied, data)
-	if err := l.store.SaveSnapshot(l.snapshot, l.core.StableTail()); err != nil {
+	snapshot.Data = data
+	if err := l.store.WriteSnapshot(*snapshot); err != nil {
 		return fmt.Errorf("save snapshot: %w", err)
 	}
 	return nil
 }
+
+// written starts the log anew at a snapshot that is on disk, unless one from the leader has overtaken it.
+func (l *loop) written(snapshot quorum.Snapshot, err error) {
+	l.writing = false
+	if err != nil {
+		l.failed = err
+		return
+	}
+	if !l.core.Compact(snapshot) {
+		return
+	}
+	l.snapshot = snapshot
+	if err := l.store.StartAt(snapshot, l.core.StableTail()); err != nil {
+		l.failed = fmt.Errorf("start log at snapshot: %w", err)
+	}
+}
--- a/disk/store.go
+++ b/disk/store.go
@@ -10,10 +10,12 @@
 )
 
 const (
-	identityName   = "identity"
-	temporaryName  = "new"
-	segmentPrefix  = "segment-"
-	snapshotPrefix = "snapshot-"
+	identityName  = "identity"
+	temporaryName = "new"
+	// snapshotTemporaryName is another, as snapshots are written beside the log.
+	snapshotTemporaryName = "new-snapshot"
+	segmentPrefix         = "segment-"
+	snapshotPrefix        = "snapshot-"
 )
 
 // Identity tells one formatted data folder from another.
@@ -222,13 +224,26 @@
 
 // SaveSnapshot makes snapshot the start of the log, followed by tail, and removes what it replaces.
 func (s *Store) SaveSnapshot(snapshot quorum.Snapshot, tail []quorum.Entry) error {
+	if err := s.WriteSnapshot(snapshot); err != nil {
+		return err
+	}
+	return s.StartAt(snapshot, tail)
+}
+
+// WriteSnapshot writes a snapshot without touching the log; it may run beside the other methods, but not beside itself.
+func (s *Store) WriteSnapshot(snapshot quorum.Snapshot) error {
 	payload, err := cbor.Marshal(snapshot)
 	if err != nil {
 		return fmt.Errorf("encode snapshot: %w", err)
 	}
-	if err := s.writeWhole(snapshotName(snapshot.Index), payload); err != nil {
+	if err := s.writeFile(snapshotTemporaryName, snapshotName(snapshot.Index), frame(payload)); err != nil {
 		return fmt.Errorf("write snapshot: %w", err)
 	}
+	return nil
+}
+
+// StartAt makes a written snapshot the start of the log, followed by tail, and removes what it replaces.
+func (s *Store) StartAt(snapshot quorum.Snapshot, tail []quorum.Entry) error {
 	return s.rotate(snapshot, tail)
 }
 
@@ -249,7 +264,7 @@
 	}
 	s.sequence++
 	name := fmt.Sprintf("%s%020d", segmentPrefix, s.sequence)
-	if err := s.writeFile(name, append(head, rest...)); err != nil {
+	if err := s.writeFile(temporaryName, name, append(head, rest...)); err != nil {
 		return fmt.Errorf("start segment: %w", err)
 	}
 	if s.segment, err = s.files.Append(name); err != nil {
@@ -285,17 +300,12 @@
 	if err != nil {
 		return fmt.Errorf("encode identity: %w", err)
 	}
-	return s.writeWhole(identityName, payload)
-}
-
-// writeWhole replaces a file by one record.
-func (s *Store) writeWhole(name string, payload []byte) error {
-	return s.writeFile(name, frame(payload))
+	return s.writeFile(temporaryName, identityName, frame(payload))
 }
 
 // writeFile replaces a file so that after a crash either the old or the new content stands.
-func (s *Store) writeFile(name string, data []byte) error {
-	f, err := s.files.Append(temporaryName)
+func (s *Store) writeFile(temporary, name string, data []byte) error {
+	f, err := s.files.Append(temporary)
 	if err != nil {
 		return fmt.Errorf("create temporary file: %w", err)
 	}
@@ -309,7 +319,7 @@
 	if err := f.Sync(); err != nil {
 		return fmt.Errorf("sync temporary file: %w", err)
 	}
-	if err := s.files.Rename(temporaryName, name); err != nil {
+	if err := s.files.Rename(temporary, name); err != nil {
 		return fmt.Errorf("replace %s: %w", name, err)
 	}
 	if err := s.files.SyncFolder(); err != nil {
--- a/leaf/registry.go
+++ b/leaf/registry.go
@@ -1,7 +1,7 @@
 package leaf
 
 import (
-	"fmt"
+	"encoding/binary"
 	"slices"
 	"sync"
 
@@ -25,6 +25,8 @@
 	FirstMs samphirepass.Millis
 	// Direct is set where the leaf itself announced to this process.
 	Direct bool
+	// content is a hash of all of the announcement but its sequence.
+	content uint64
 }
 
 // Heard is an announcement as it is passed between entries.
@@ -56,10 +58,23 @@
 	return &Registry{clock: clock, leaves: map[samphirepass.Leaf]Known{}}
 }
 
-// content is a hash of all of an announcement but its sequence.
+// content returns a hash of all of an announcement but its sequence.
 func content(a samphirepass.Announcement) uint64 {
-	a.Sequence = 0
-	return xxhash.Sum64String(fmt.Sprintf("%+v", a))
+	d := xxhash.New()
+	for _, s := range []string{string(a.Leaf), string(a.Service), a.Address, string(a.DataCentre), string(a.State)} {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	numbers := []uint64{uint64(a.Incarnation), uint64(a.Slots), uint64(a.Connections)}
+	for _, h := range a.Holdings {
+		numbers = append(numbers, uint64(h.Snapshot), uint64(h.Shards), uint64(h.Shard))
+	}
+	var b []byte
+	for _, n := range numbers {
+		b = binary.LittleEndian.AppendUint64(b, n)
+	}
+	_, _ = d.Write(b)
+	return d.Sum64()
 }
 
 // Hear takes in an announcement and reports whether it is new, and whether more than its sequence changed.
@@ -76,10 +91,8 @@
 		k.FirstMs = have.FirstMs
 		k.HeardMs = max(k.HeardMs, have.HeardMs)
 	}
-	before, after := uint64(0), content(a)
-	if ok {
-		before = content(have.Announcement)
-	}
+	before, after := have.content, content(a)
+	k.content = after
 	r.leaves[a.Leaf] = k
 	if before != after {
 		r.digest ^= before ^ after
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 
@@ -85,17 +86,46 @@
 	s.expiry = newExpiryHeap(c.Runs)
 }
 
-// Snapshot returns the whole state in bytes.
-func (s *State) Snapshot() ([]byte, error) {
+// Frozen is a copy of the state at one index, which can be encoded while the state moves on.
+type Frozen struct {
+	c contents
+}
+
+// Freeze returns a copy of the state.
+func (s *State) Freeze() Frozen {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	b, err := cbor.Marshal(s.c)
+	c := s.c
+	c.Resources = maps.Clone(c.Resources)
+	c.LastChange = maps.Clone(c.LastChange)
+	c.Runs = maps.Clone(c.Runs)
+	c.PurgedMs = maps.Clone(c.PurgedMs)
+	c.Left = maps.Clone(c.Left)
+	c.Seats = slices.Clone(c.Seats)
+	return Frozen{c: c}
+}
+
+// Encode returns the whole copy in bytes.
+func (f Frozen) Encode() ([]byte, error) {
+	b, err := cbor.Marshal(f.c)
 	if err != nil {
 		return nil, fmt.Errorf("snapshot of the ledger: %w", err)
 	}
 	return b, nil
 }
 
+// Snapshot returns the whole state in bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	return s.Freeze().Encode()
+}
+
+// Size counts the records that a snapshot holds.
+func (s *State) Size() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.c.Resources) + len(s.c.Events) + len(s.c.Changes) + len(s.c.Runs)
+}
+
 // Restore replaces the state by a snapshot; empty data is the empty state.
 func (s *State) Restore(data []byte) error {
 	var c contents
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -397,12 +397,19 @@
 	c.send(Message{Kind: MessageTimeoutNow, To: vm, Term: c.hard.Term})
 }
 
-// Compact drops the entries up to index, whose effect is in data.
-func (c *Core) Compact(index samphirepass.Revision, data []byte) Snapshot {
+// SnapshotAt returns a snapshot without data at an index that is applied and still in the log.
+func (c *Core) SnapshotAt(index samphirepass.Revision) Snapshot {
 	term, _ := c.log.term(index)
-	s := Snapshot{Index: index, Term: term, Members: c.log.membersAt(index), Data: data}
+	return Snapshot{Index: index, Term: term, Members: c.log.membersAt(index)}
+}
+
+// Compact drops the entries that s covers and reports whether it did; a snapshot older than the present one changes nothing.
+func (c *Core) Compact(s Snapshot) bool {
+	if s.Index <= c.log.snapshot.Index {
+		return false
+	}
 	c.log.compact(s)
-	return s
+	return true
 }
 
 func (c *Core) send(m Message) {
--- a/quorum/schedule_test.go
+++ b/quorum/schedule_test.go
@@ -304,7 +304,9 @@
 	if index <= m.disk.snapshot.Index {
 		return
 	}
-	snapshot := m.core.Compact(index, encodeApplied(m.applied))
+	snapshot := m.core.SnapshotAt(index)
+	snapshot.Data = encodeApplied(m.applied)
+	m.core.Compact(snapshot)
 	m.disk.entries = slices.Clone(m.disk.entries[index-m.disk.snapshot.Index:])
 	m.disk.snapshot = snapshot
 }
--- a/scenario/slopes_test.go
+++ b/scenario/slopes_test.go
@@ -24,6 +24,7 @@
 	"samphirepass/disk"
 	"samphirepass/operator"
 	"samphirepass/quorum"
+	"samphirepass/standin"
 )
 
 // idleFor is the time over which standing costs are measured.
@@ -165,7 +166,7 @@
 	for _, leaves := range []int{100, 300, 900} {
 		b.Run(fmt.Sprint(leaves), func(b *testing.B) {
 			s := measured(b, 1, 2)
-			stop := announce(s, leaves)
+			stop := announce(b, s, leaves)
 			defer stop()
 			time.Sleep(2 * time.Second)
 			p, q := s.processes["entry-1"], s.processes["entry-2"]
@@ -180,7 +181,7 @@
 }
 
 // announce sends announcements of leaves that are still starting, so that nobody connects to them.
-func announce(s *system, leaves int) (stop func()) {
+func announce(b *testing.B, s *system, leaves int) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	apis := s.entryAPIs()
 	var wg sync.WaitGroup
@@ -192,12 +193,10 @@
 				a := samphirepass.Announcement{
 					Leaf: samphirepass.Leaf(fmt.Sprintf("leaf-%d", i)), Service: "desk", Address: "127.0.0.1:9", DataCentre: "derby",
 					Incarnation: 1, Sequence: n, State: samphirepass.LeafStarting, Slots: 3, Connections: 30,
+					Holdings: []samphirepass.Holding{{Snapshot: 1, Shards: leaves, Shard: samphirepass.Shard(i)}},
 				}
-				body, _ := json.Marshal(a)
-				resp, err := http.Post("http://"+apis[(i+int(n))%len(apis)]+"/v1/announcements", "application/json", bytes.NewReader(body))
-				if err == nil {
-					_, _ = io.Copy(io.Discard, resp.Body)
-					resp.Body.Close()
+				if err := standin.Announce(ctx, apis[(i+int(n))%len(apis)], a); err != nil && ctx.Err() == nil {
+					b.Error(err)
 				}
 				select {
 				case <-time.After(time.Second):
--- a/shell/shell.go
+++ b/shell/shell.go
@@ -35,21 +35,26 @@
 
 // Main runs the command that args name and returns the exit status.
 func Main(args []string) int {
-	var o options
-	_, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
+	return Run("samphirepass", &options{}, args)
+}
+
+// Run runs the subcommand of commands, a struct for go-flags, that args name; errors go to standard error after name.
+func Run(name string, commands any, args []string) int {
+	_, err := flags.NewParser(commands, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
 	var flagError *flags.Error
 	switch {
 	case err == nil:
+		return 0
 	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
 		fmt.Println(err)
+		return 0
 	case errors.As(err, &flagError):
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	default:
-		fmt.Fprintln(os.Stderr, "samphirepass:", err)
+		fmt.Fprintln(os.Stderr, name+":", err)
 		return exitFailure
 	}
-	return 0
 }
 
 // untilSignal returns a context that ends at SIGTERM or SIGINT.
