control: Let clients learn of members that no settings file names

Cause: TestProofMembers failed once in the repeated run: after members were added and removed, the one that had joined led, and the entries' settings did not name it, so that no change reached it. It had passed where another led. Ruled out: the election (the new member led within a second), a lost quorum. Change: a refusal names the leader's address and a sync the membership; clients add both to what their settings say.

--- a/control/client.go
+++ b/control/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,16 +18,17 @@
 
 // Client sends requests to whichever member leads; it is safe for concurrent use.
 type Client struct {
-	members []quorum.Member
-	peers   *peer.Pool
+	peers *peer.Pool
 
-	mu   sync.Mutex
-	next int
+	mu sync.Mutex
+	// members are those that settings name and those that were learned of since.
+	members []quorum.Member
+	next    int
 }
 
 // NewClient returns a client of the given members.
 func NewClient(members []quorum.Member, peers *peer.Pool) *Client {
-	return &Client{members: members, peers: peers}
+	return &Client{members: slices.Clone(members), peers: peers}
 }
 
 func (c *Client) target() quorum.Member {
@@ -35,6 +37,20 @@
 	return c.members[c.next%len(c.members)]
 }
 
+// learn adds members that were not known, and moves those that have another address now.
+func (c *Client) learn(members quorum.Members) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range members {
+		i := slices.IndexFunc(c.members, func(have quorum.Member) bool { return have.VM == m.VM })
+		if i < 0 {
+			c.members = append(c.members, m)
+		} else {
+			c.members[i].Address = m.Address
+		}
+	}
+}
+
 // turn moves on from one target to the hinted leader, or to the next member.
 func (c *Client) turn(from quorum.Member, leader samphirepass.VM) {
 	c.mu.Lock()
@@ -68,8 +84,9 @@
 		}
 		maybeDone = maybeDone || r == nil || !r.NotRun
 		hint := samphirepass.VM("")
-		if r != nil {
+		if r != nil && r.Leader != "" && r.LeaderAddress != "" {
 			hint = r.Leader
+			c.learn(quorum.Members{{VM: r.Leader, Address: r.LeaderAddress}})
 		}
 		c.turn(to, hint)
 		select {
@@ -112,6 +129,7 @@
 func (c *Client) Sync(ctx context.Context, req SyncRequest) (SyncReply, error) {
 	var reply SyncReply
 	err := c.call(ctx, kindSync, req, &reply)
+	c.learn(reply.Members)
 	return reply, err
 }
 
@@ -131,9 +149,12 @@
 
 // Statuses asks every member for its own view; members that do not answer are left out.
 func (c *Client) Statuses(ctx context.Context) []Status {
-	out := make([]Status, len(c.members))
+	c.mu.Lock()
+	members := slices.Clone(c.members)
+	c.mu.Unlock()
+	out := make([]Status, len(members))
 	var wg sync.WaitGroup
-	for i, m := range c.members {
+	for i, m := range members {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
--- a/control/loop.go
+++ b/control/loop.go
@@ -87,6 +87,7 @@
 func (l *loop) tick() {
 	l.core.Tick()
 	l.ticks++
+	l.node.setMembers(l.core.Members())
 	if l.core.Role() == quorum.RoleLeader {
 		l.lead()
 	}
@@ -105,6 +106,8 @@
 func (l *loop) notLeader() error {
 	r := samphirepass.Refuse(samphirepass.CodeNotLeader, "member %s does not lead", l.node.o.VM)
 	r.Leader = l.core.Leader()
+	leader, _ := l.core.Members().Find(r.Leader)
+	r.LeaderAddress = leader.Address
 	return r
 }
 
--- a/control/messages.go
+++ b/control/messages.go
@@ -58,6 +58,8 @@
 	Full   bool
 	View   ledger.View
 	Events []samphirepass.ResourceEvent
+	// Members is the present membership of control, which may have left what settings name behind.
+	Members quorum.Members
 }
 
 // proposeRequest asks the leader to commit one command.
--- a/control/node.go
+++ b/control/node.go
@@ -66,6 +66,8 @@
 	greeted   map[samphirepass.VM]greeting
 	holders   map[samphirepass.VM]samphirepass.Revision
 	changed   chan struct{}
+	// members is the latest membership that the loop has seen.
+	members quorum.Members
 
 	seatMu sync.Mutex
 }
@@ -141,6 +143,12 @@
 	n.loadedLog = loadedLog
 }
 
+func (n *Node) setMembers(members quorum.Members) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members = members
+}
+
 func (n *Node) newLoop(store *disk.Store, loaded disk.Loaded) *loop {
 	core := quorum.New(quorum.Options{
 		VM: n.o.VM, Disk: loaded.Disk, Rand: rand.New(rand.NewSource(time.Now().UnixNano())),
--- a/control/serve.go
+++ b/control/serve.go
@@ -143,6 +143,9 @@
 func (n *Node) syncReply(have samphirepass.Revision) SyncReply {
 	view := n.ledger.View()
 	reply := SyncReply{Revision: view.Revision}
+	n.mu.Lock()
+	reply.Members = n.members
+	n.mu.Unlock()
 	events, ok := n.ledger.EventsSince(have)
 	if have == 0 || !ok {
 		reply.Full = true
--- a/disk/store_test.go
+++ b/disk/store_test.go
@@ -267,7 +267,7 @@
 			c := m.names["identity"]
 			c.written[len(c.written)-1] ^= 0xff
 		}},
-		"a lost snapshot": {harm: func(t *testing.T, m *memory) {
+		"a lost snapshot": {harm: func(_ *testing.T, m *memory) {
 			for n := range m.names {
 				if n[:4] == "snap" {
 					delete(m.names, n)
--- a/errors.go
+++ b/errors.go
@@ -42,6 +42,8 @@
 	NotRun bool `json:"not-run"`
 	// Leader is the VM to ask instead, where it is known and the code is CodeNotLeader.
 	Leader VM `json:"leader,omitempty"`
+	// LeaderAddress is the peer address of Leader.
+	LeaderAddress string `json:"leader-address,omitempty"`
 }
 
 // Error returns the code, the field and the message.
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -45,7 +45,7 @@
 		"copy": with(cmdCopy), "isolate": with(cmdIsolate), "query": with(cmdQuery), "run": with(cmdRun),
 		"ran": with(cmdRan), "state": with(cmdState), "fault": with(cmdFault), "leaf": with(cmdLeaf),
 		"load": with(cmdLoad), "background": with(cmdBackground),
-		"spare": with(cmdSpare), "member": with(cmdMember), "watch": with(cmdWatch), "vars": cmdVars, "change": with(cmdChange), "pause": with(cmdPause), "inforce": with(cmdInForce),
+		"spare": with(cmdSpare), "member": with(cmdMember), "watch": with(cmdWatch), "vars": cmdVars, "leads": with(cmdLeads), "change": with(cmdChange), "pause": with(cmdPause), "inforce": with(cmdInForce),
 		"commits": with(cmdCommits), "share": with(cmdShare), "collect": with(cmdCollect),
 	}
 }
@@ -246,6 +246,22 @@
 	})
 }
 
+// cmdLeads: leads PROCESS freezes whoever else leads until PROCESS does.
+func cmdLeads(s *system, args []string) error {
+	return await(args[0]+" leading", func() bool {
+		leader, ok := s.leader()
+		if !ok || string(leader.VM) == args[0] {
+			return ok
+		}
+		p := s.processes[string(leader.VM)]
+		if p.signal(syscall.SIGSTOP) != nil {
+			return false
+		}
+		time.Sleep(2 * time.Second)
+		return p.signal(syscall.SIGCONT) != nil
+	})
+}
+
 // cmdWatch: watch start ENTRY | watch check compares what a watch saw with the changes accepted since it began.
 func cmdWatch(s *system, args []string) error {
 	if args[0] == "start" {
--- a/scenario/requests_test.go
+++ b/scenario/requests_test.go
@@ -9,11 +9,11 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"samphirepass"
 	"samphirepass/bench"
 	"samphirepass/caller"
-
-	"github.com/google/uuid"
 )
 
 func (s *system) bench(entry string) bench.Client {
