--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -86,13 +86,17 @@
 	// Need is the figure at the size asked for, Budget what is allowed, both in Unit; a budget of 0 means that none is stated.
 	Need, Budget float64
 	Unit         string
-	From         string
-	Mechanism    string
+	// NotMeasured marks a row without a figure.
+	NotMeasured bool
+	From        string
+	Mechanism   string
 }
 
 // Factor tells how far today's code falls short of the budget, or what room it has.
 func (r Row) Factor() string {
 	switch {
+	case r.NotMeasured:
+		return "not known"
 	case r.Budget == 0:
 		return "no budget stated"
 	case r.Need <= 0:
@@ -121,22 +125,40 @@
 		if r.Budget != 0 {
 			allowed = figure(r.Budget) + " " + r.Unit
 		}
-		fmt.Fprintf(&b, "| %s | %s | %s %s | %s | %s | %s | %s |\n", r.Role, r.What, figure(r.Need), r.Unit, allowed, r.Factor(), r.From, r.Mechanism)
+		need := figure(r.Need) + " " + r.Unit
+		if r.NotMeasured {
+			need = "not measured"
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s | %s |\n", r.Role, r.What, need, allowed, r.Factor(), r.From, r.Mechanism)
 	}
 	return b.String()
 }
 
+// inYardsticks gives a time as a multiple of a round trip or a sync on the same machine.
+func inYardsticks(s Slope, slopes map[string]Slope) string {
+	const microsPerMilli = 1000
+	switch {
+	case strings.HasPrefix(s.Unit, "µs"):
+		return figure(s.Value/slopes["yardstick-http"].Value) + " round trips"
+	case s.Unit == "ms":
+		return figure(s.Value*microsPerMilli/slopes["yardstick-sync"].Value) + " syncs"
+	default:
+		return "-"
+	}
+}
+
 // SlopeTable returns the slopes as Markdown.
 func SlopeTable(slopes map[string]Slope, order []string) string {
 	var b strings.Builder
-	b.WriteString("| slope | value | points (x: y) | benchmark |\n| --- | --- | --- | --- |\n")
+	b.WriteString("| slope | value | in yardsticks | points (x: y) | benchmark |\n| --- | --- | --- | --- | --- |\n")
 	for _, name := range order {
 		s := slopes[name]
 		points := make([]string, len(s.Points))
 		for i, p := range s.Points {
 			points[i] = fmt.Sprintf("%g: %g", p[0], p[1])
 		}
-		fmt.Fprintf(&b, "| %s | %s %s a %s | %s | `%s` |\n", s.Name, figure(s.Value), s.Unit, s.Per, strings.Join(points, ", "), s.Benchmark)
+		fmt.Fprintf(&b, "| %s | %s %s for each %s | %s | %s | `%s` |\n",
+			s.Name, figure(s.Value), s.Unit, s.Per, inYardsticks(s, slopes), strings.Join(points, ", "), s.Benchmark)
 	}
 	return b.String()
 }
