control: Use the field's words, and ask for the balancer's notice

Cause: reading as a newcomer: 'greet' for a handshake, 'book' for a pool of connections; and an entry without balancer-notice-ms would stop without one, a default that hides a needed value. Ruled out: a built-in notice, as it depends on the balancer. Change: names, and the field is required for entries. Before: a settings file without it was valid.

--- a/control/greet.go
+++ b/control/handshake.go
@@ -11,14 +11,14 @@
 )
 
 const (
-	greetPauseMs   samphirepass.Millis = 200
-	greetTimeoutMs samphirepass.Millis = 800
-	// greetingFreshMs is how long a hello counts as a sign of life of a joining disk.
-	greetingFreshMs samphirepass.Millis = 3000
+	handshakePauseMs   samphirepass.Millis = 200
+	handshakeTimeoutMs samphirepass.Millis = 800
+	// helloFreshMs is how long a hello counts as a sign of life of a joining disk.
+	helloFreshMs samphirepass.Millis = 3000
 )
 
-// greet introduces the disk to the other members until it is safe to take part; it reports whether to bootstrap.
-func (n *Node) greet(ctx context.Context, core *quorum.Core) (bool, error) {
+// handshake introduces the disk to the other members until it is safe to take part; it reports whether to bootstrap.
+func (n *Node) handshake(ctx context.Context, core *quorum.Core) (bool, error) {
 	for {
 		replies := n.helloAll(ctx, core.Members())
 		old := ahead(replies, core)
@@ -35,9 +35,9 @@
 			}
 		}
 		select {
-		case <-time.After(greetPauseMs.Duration()):
+		case <-time.After(handshakePauseMs.Duration()):
 		case <-ctx.Done():
-			return false, fmt.Errorf("greet: %w", ctx.Err())
+			return false, fmt.Errorf("handshake: %w", ctx.Err())
 		}
 	}
 }
@@ -102,7 +102,7 @@
 }
 
 func (n *Node) helloAll(ctx context.Context, members quorum.Members) []helloReply {
-	ctx, cancel := context.WithTimeout(ctx, greetTimeoutMs.Duration())
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeoutMs.Duration())
 	defer cancel()
 	n.mu.Lock()
 	req := helloRequest{VM: n.o.VM, Address: n.o.Address, Disk: n.identity.Disk}
@@ -138,7 +138,7 @@
 			n.helloAll(ctx, s.Members)
 		}
 		select {
-		case <-time.After(2 * greetPauseMs.Duration()):
+		case <-time.After(2 * handshakePauseMs.Duration()):
 		case <-ctx.Done():
 			return
 		}
@@ -149,7 +149,7 @@
 func (n *Node) hello(ctx context.Context, req helloRequest) (helloReply, error) {
 	n.mu.Lock()
 	reply := helloReply{VM: n.o.VM, Seen: n.seen[req.Disk], Initialised: n.loadedLog}
-	n.greeted[req.VM] = greeting{helloRequest: req, at: n.o.Clock.Now()}
+	n.hellos[req.VM] = lastHello{helloRequest: req, at: n.o.Clock.Now()}
 	n.mu.Unlock()
 	status, err := n.Status(ctx)
 	if err != nil {
@@ -157,7 +157,7 @@
 	}
 	reply.Initialised = reply.Initialised || len(status.Members) > 0
 	if status.Role == quorum.RoleLeader {
-		ctx, cancel := context.WithTimeout(ctx, (greetTimeoutMs / 2).Duration())
+		ctx, cancel := context.WithTimeout(ctx, (handshakeTimeoutMs / 2).Duration())
 		defer cancel()
 		reply.Leads = n.Confirm(ctx) == nil
 	}
--- a/control/lead.go
+++ b/control/lead.go
@@ -37,7 +37,7 @@
 	if m.VM == l.node.o.VM {
 		return m, false
 	}
-	g, fresh := l.node.greetingOf(m.VM)
+	g, fresh := l.node.lastHelloOf(m.VM)
 	if fresh && g.Disk != m.Disk {
 		if m.Voter && l.core.Active(m.VM) {
 			return m, false
@@ -52,11 +52,11 @@
 	return m, true
 }
 
-func (n *Node) greetingOf(vm samphirepass.VM) (greeting, bool) {
+func (n *Node) lastHelloOf(vm samphirepass.VM) (lastHello, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	g, ok := n.greeted[vm]
-	return g, ok && n.o.Clock.Now()-g.at < greetingFreshMs
+	g, ok := n.hellos[vm]
+	return g, ok && n.o.Clock.Now()-g.at < helloFreshMs
 }
 
 func (l *loop) form(members quorum.Members) {
--- a/control/node.go
+++ b/control/node.go
@@ -63,7 +63,7 @@
 	// loadedLog is set where the disk held a log at the start.
 	loadedLog bool
 	seen      map[samphirepass.DiskID]seen
-	greeted   map[samphirepass.VM]greeting
+	hellos    map[samphirepass.VM]lastHello
 	holders   map[samphirepass.VM]samphirepass.Revision
 	changed   chan struct{}
 	// members is the latest membership that the loop has seen.
@@ -72,8 +72,8 @@
 	seatMu sync.Mutex
 }
 
-// greeting is the last hello of one VM.
-type greeting struct {
+// lastHello is the last hello of one VM.
+type lastHello struct {
 	helloRequest
 	at samphirepass.Millis
 }
@@ -88,7 +88,7 @@
 	}
 	return &Node{
 		o: o, ledger: ledger.New(), events: make(chan func(*loop), inboxLength), halted: make(chan struct{}),
-		ready: make(chan struct{}), seen: map[samphirepass.DiskID]seen{}, greeted: map[samphirepass.VM]greeting{},
+		ready: make(chan struct{}), seen: map[samphirepass.DiskID]seen{}, hellos: map[samphirepass.VM]lastHello{},
 		holders: map[samphirepass.VM]samphirepass.Revision{}, changed: make(chan struct{}),
 	}
 }
@@ -103,12 +103,12 @@
 	defer store.Close()
 	n.setIdentity(loaded.Identity, len(loaded.Entries) > 0 || loaded.Snapshot.Index > 0)
 	l := n.newLoop(store, loaded)
-	bootstrap, err := n.greet(ctx, l.core)
+	bootstrap, err := n.handshake(ctx, l.core)
 	if eris.Is(err, errOldDisk) {
 		l, err = n.replaceDisk(store)
 	}
 	if err != nil {
-		return fmt.Errorf("greet members: %w", err)
+		return fmt.Errorf("handshake with members: %w", err)
 	}
 	if bootstrap {
 		l.core.Bootstrap(n.firstMembers())
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -40,7 +40,7 @@
 	log      logs.Logger
 	board    *blackboard.Board
 	registry *leaf.Registry
-	book     *leaf.Book
+	pool     *leaf.Pool
 	client   *control.Client
 	syncer   *entry.Syncer
 	relay    *entry.Relay
@@ -67,11 +67,11 @@
 	}
 	e.syncer = entry.NewSyncer(o)
 	e.relay = entry.NewRelay(o, e.registry)
-	e.book = leaf.NewBook(clock, seatShares{vm: cfg.VM, board: e.board})
-	e.warmer = leaf.NewWarmer(e.registry, e.book, clock)
+	e.pool = leaf.NewPool(clock, seatShares{vm: cfg.VM, board: e.board})
+	e.warmer = leaf.NewWarmer(e.registry, e.pool, clock)
 	set := policy.Named(cfg.Policy, clock)
 	planner := leaf.NewPlanner(e.registry, clock)
-	gatherer := leaf.NewGatherer(planner, e.book, leaf.NewSender(e.book, clock), cfg.DataCentre, set, clock)
+	gatherer := leaf.NewGatherer(planner, e.pool, leaf.NewSender(e.pool, clock), cfg.DataCentre, set, clock)
 	e.calls = caller.New(caller.Options{
 		VM: cfg.VM, Board: e.board, Gatherer: gatherer, Control: e.client, Policy: set,
 		Metrics: e.metrics, Clock: clock, Serving: e.syncer.Serving,
@@ -153,7 +153,7 @@
 	if _, ok := e.board.Config.Value().Seat(e.cfg.VM); !ok {
 		return "no seat"
 	}
-	if !e.relay.Acquainted() {
+	if !e.relay.KnowsLeaves() {
 		return "leaves not yet known"
 	}
 	return ""
@@ -190,7 +190,7 @@
 	defer cancel()
 	err := e.api.Shutdown(ctx)
 	e.calls.Wait()
-	e.book.Close()
+	e.pool.Close()
 	e.peerWS.Close()
 	_ = e.peerHTTP.Shutdown(ctx)
 	if err != nil {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -102,9 +102,9 @@
 	return true
 }
 
-// Acquainted reports whether the entry has had the means to learn of the leaves: from another entry,
+// KnowsLeaves reports whether the entry has had the means to learn of the leaves: from another entry,
 // or, where none knows any, from the leaves themselves within learnMs of the start.
-func (r *Relay) Acquainted() bool {
+func (r *Relay) KnowsLeaves() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	told := r.exchanged && len(r.registry.Table()) > 0
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -93,7 +93,7 @@
 	}
 	candidates := make([]samphirepass.Candidate, len(leaves))
 	for i, k := range leaves {
-		candidates[i] = f.g.book.Candidate(k, f.g.centre)
+		candidates[i] = f.g.pool.Candidate(k, f.g.centre)
 	}
 	k := leaves[f.g.policy.Chooser.Choose(candidates)]
 	s.tried = append(s.tried, k.Leaf)
--- a/leaf/gather.go
+++ b/leaf/gather.go
@@ -53,7 +53,7 @@
 // Gatherer sends queries to one leaf of each shard and merges the answers; it is safe for concurrent use.
 type Gatherer struct {
 	planner *Planner
-	book    *Book
+	pool    *Pool
 	sender  samphirepass.Sender
 	centre  samphirepass.DataCentre
 	policy  policy.Set
@@ -64,9 +64,9 @@
 }
 
 // NewGatherer returns a gatherer of an entry in the given data centre.
-func NewGatherer(planner *Planner, book *Book, sender samphirepass.Sender, centre samphirepass.DataCentre, set policy.Set, clock samphirepass.Clock) *Gatherer {
+func NewGatherer(planner *Planner, pool *Pool, sender samphirepass.Sender, centre samphirepass.DataCentre, set policy.Set, clock samphirepass.Clock) *Gatherer {
 	return &Gatherer{
-		planner: planner, book: book, sender: sender, centre: centre, policy: set, clock: clock,
+		planner: planner, pool: pool, sender: sender, centre: centre, policy: set, clock: clock,
 		services: map[samphirepass.Service]*decisions{},
 	}
 }
--- a/leaf/gather_test.go
+++ b/leaf/gather_test.go
@@ -62,8 +62,8 @@
 	for _, a := range leaves {
 		r.Hear(a, 0, true)
 	}
-	book := leaf.NewBook(clock, fixedShares(1))
-	return leaf.NewGatherer(leaf.NewPlanner(r, clock), book, s, "derby", policy.Named(policy.NameMeasured, clock), clock)
+	pool := leaf.NewPool(clock, fixedShares(1))
+	return leaf.NewGatherer(leaf.NewPlanner(r, clock), pool, s, "derby", policy.Named(policy.NameMeasured, clock), clock)
 }
 
 func replicas() []samphirepass.Announcement {
--- a/leaf/book.go
+++ b/leaf/pool.go
@@ -41,8 +41,8 @@
 	Version() uint64
 }
 
-// Book keeps what this entry measured of each leaf, and its connections; it is safe for concurrent use.
-type Book struct {
+// Pool keeps what this entry measured of each leaf, and its connections; it is safe for concurrent use.
+type Pool struct {
 	clock  samphirepass.Clock
 	shares Shares
 
@@ -50,13 +50,13 @@
 	targets map[samphirepass.Leaf]*target
 }
 
-// NewBook returns an empty book.
-func NewBook(clock samphirepass.Clock, shares Shares) *Book {
-	return &Book{clock: clock, shares: shares, targets: map[samphirepass.Leaf]*target{}}
+// NewPool returns an empty pool.
+func NewPool(clock samphirepass.Clock, shares Shares) *Pool {
+	return &Pool{clock: clock, shares: shares, targets: map[samphirepass.Leaf]*target{}}
 }
 
 // target returns the record of a leaf, its lanes shared out by the present seats.
-func (b *Book) target(a samphirepass.Announcement) *target {
+func (b *Pool) target(a samphirepass.Announcement) *target {
 	t := b.find(a)
 	if version := b.shares.Version(); t.shared.Swap(version) != version {
 		t.lanes.setShare(b.shares.Share(a))
@@ -65,7 +65,7 @@
 }
 
 // find returns the record of a leaf; a leaf that moved to another address starts anew.
-func (b *Book) find(a samphirepass.Announcement) *target {
+func (b *Pool) find(a samphirepass.Announcement) *target {
 	b.mu.RLock()
 	t := b.targets[a.Leaf]
 	b.mu.RUnlock()
@@ -88,7 +88,7 @@
 }
 
 // Refresh brings the shares of connections up to date and forgets leaves that are no longer announced.
-func (b *Book) Refresh(known []Known) {
+func (b *Pool) Refresh(known []Known) {
 	there := make(map[samphirepass.Leaf]bool, len(known))
 	for _, k := range known {
 		there[k.Leaf] = true
@@ -105,12 +105,12 @@
 }
 
 // Close gives up all connections once the requests on them have ended.
-func (b *Book) Close() {
+func (b *Pool) Close() {
 	b.Refresh(nil)
 }
 
 // Candidate describes a leaf to the chooser.
-func (b *Book) Candidate(k Known, centre samphirepass.DataCentre) samphirepass.Candidate {
+func (b *Pool) Candidate(k Known, centre samphirepass.DataCentre) samphirepass.Candidate {
 	t := b.target(k.Announcement)
 	now := b.clock.Now()
 	t.mu.Lock()
--- a/leaf/run.go
+++ b/leaf/run.go
@@ -21,7 +21,7 @@
 	}
 	candidates := make([]samphirepass.Candidate, len(leaves))
 	for i, k := range leaves {
-		candidates[i] = g.book.Candidate(k, g.centre)
+		candidates[i] = g.pool.Candidate(k, g.centre)
 	}
 	k := leaves[g.policy.Chooser.Choose(candidates)]
 	return k, samphirepass.Attempt{Service: service, Snapshot: plan.Snapshot, Shard: samphirepass.Shard(shard)}, nil
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -20,20 +20,20 @@
 // maxAnswerBytes bounds the body of one leaf's answer.
 const maxAnswerBytes = 16 << 20
 
-// Sender sends attempts over the connections of a book.
+// Sender sends attempts over the connections of a pool.
 type Sender struct {
-	book  *Book
+	pool  *Pool
 	clock samphirepass.Clock
 }
 
-// NewSender returns a sender over book.
-func NewSender(book *Book, clock samphirepass.Clock) *Sender {
-	return &Sender{book: book, clock: clock}
+// NewSender returns a sender over pool.
+func NewSender(pool *Pool, clock samphirepass.Clock) *Sender {
+	return &Sender{pool: pool, clock: clock}
 }
 
 // Send sends one attempt on one connection, once: nothing below repeats it or follows a redirect.
 func (s *Sender) Send(ctx context.Context, to samphirepass.Announcement, a samphirepass.Attempt) (samphirepass.Reply, error) {
-	t := s.book.target(to)
+	t := s.pool.target(to)
 	t.start()
 	began := s.clock.Now()
 	reply, err := s.send(ctx, t, to, a)
--- a/leaf/sender_test.go
+++ b/leaf/sender_test.go
@@ -35,10 +35,10 @@
 	}
 }
 
-func newSender(shares int) (*leaf.Sender, *leaf.Book) {
+func newSender(shares int) (*leaf.Sender, *leaf.Pool) {
 	clock := samphirepass.SystemClock{}
-	book := leaf.NewBook(clock, fixedShares(shares))
-	return leaf.NewSender(book, clock), book
+	pool := leaf.NewPool(clock, fixedShares(shares))
+	return leaf.NewSender(pool, clock), pool
 }
 
 func kindOf(err error) samphirepass.FailureKind {
--- a/leaf/warm.go
+++ b/leaf/warm.go
@@ -23,13 +23,13 @@
 // Warmer keeps connections open ahead of need and replaces those that have gone silent.
 type Warmer struct {
 	registry *Registry
-	book     *Book
+	pool     *Pool
 	clock    samphirepass.Clock
 }
 
 // NewWarmer returns a warmer of the leaves in registry.
-func NewWarmer(registry *Registry, book *Book, clock samphirepass.Clock) *Warmer {
-	return &Warmer{registry: registry, book: book, clock: clock}
+func NewWarmer(registry *Registry, pool *Pool, clock samphirepass.Clock) *Warmer {
+	return &Warmer{registry: registry, pool: pool, clock: clock}
 }
 
 // Serve runs until ctx ends.
@@ -38,7 +38,7 @@
 	defer t.Stop()
 	for {
 		known := m.registry.All()
-		m.book.Refresh(known)
+		m.pool.Refresh(known)
 		for _, k := range known {
 			if k.State == samphirepass.LeafServing {
 				m.warm(ctx, k)
@@ -54,7 +54,7 @@
 
 // warm probes the stale connections of one leaf and opens the missing ones, up to one more than its slots.
 func (m *Warmer) warm(ctx context.Context, k Known) {
-	t := m.book.target(k.Announcement)
+	t := m.pool.target(k.Announcement)
 	var stale []*lane
 	for one := t.lanes.acquireStale(m.clock.Now()-staleMs, k.Slots+1); one != nil; {
 		stale = append(stale, one)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,7 +47,7 @@
 	// Policy picks the decisions of an entry; left out, it is measured.
 	Policy policy.Name `json:"policy,omitempty" validate:"omitempty,oneof=measured baseline measured-random-choice measured-no-hedge measured-open-admission"`
 	// BalancerNoticeMs is how long an entry goes on after it told the balancer that it stops.
-	BalancerNoticeMs samphirepass.Millis `json:"balancer-notice-ms,omitempty" validate:"omitempty,min=0,max=60000"`
+	BalancerNoticeMs samphirepass.Millis `json:"balancer-notice-ms,omitempty" validate:"required_if=Role entry,omitempty,min=1,max=60000"`
 }
 
 // Read reads and checks one file.
