--- a/control/fault_test.go
+++ b/control/fault_test.go
@@ -91,8 +91,16 @@
 		VM: "a", Address: "127.0.0.1:1", Members: []quorum.Member{{VM: "a", Address: "127.0.0.1:1"}}, Seats: 1,
 		Files: files, Clock: samphirepass.SystemClock{}, Peers: &peer.Pool{}, SnapshotEntries: 10,
 	})
-	ended := make(chan error, 1)
-	go func() { ended <- node.Serve(ctx) }()
+	ctx, cancel := context.WithCancel(ctx)
+	ended, done := make(chan error, 1), make(chan struct{})
+	go func() {
+		defer close(done)
+		ended <- node.Serve(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
 	require.Eventually(t, func() bool { return propose(ctx, node, "first") == nil }, 10*time.Second, 10*time.Millisecond)
 	return node, ended
 }
--- a/control/loop.go
+++ b/control/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"samphirepass"
@@ -42,6 +43,8 @@
 	// writing is set while a snapshot is written, failed once one could not be.
 	writing bool
 	failed  error
+	// writes ends once no snapshot is being written.
+	writes sync.WaitGroup
 }
 
 type confirmedRead struct {
@@ -248,8 +251,10 @@
 		return
 	}
 	l.writing = true
+	l.writes.Add(1)
 	snapshot, frozen := l.core.SnapshotAt(l.applied), l.node.ledger.Freeze()
 	go func() {
+		defer l.writes.Done()
 		err := l.write(&snapshot, frozen)
 		// A node that has ended needs no snapshot.
 		_ = l.node.do(context.Background(), func(l *loop) { l.written(snapshot, err) })
--- a/control/node.go
+++ b/control/node.go
@@ -95,12 +95,27 @@
 
 // Serve runs the node until ctx ends or the disk fails; after a disk fault the process must stop.
 func (n *Node) Serve(ctx context.Context) error {
-	defer close(n.halted)
 	store, loaded, err := disk.Open(n.o.Files, newDiskID())
 	if err != nil {
+		close(n.halted)
 		return fmt.Errorf("open data folder: %w", err)
 	}
 	defer store.Close()
+	l, err := n.join(ctx, store, loaded)
+	if err != nil {
+		close(n.halted)
+		return fmt.Errorf("join members: %w", err)
+	}
+	go n.introduce(ctx)
+	err = l.run(ctx)
+	close(n.halted)
+	// Nothing may touch the data folder once the member has ended.
+	l.writes.Wait()
+	return err
+}
+
+// join shakes hands with the other members until it is safe to take part, and returns the loop to run.
+func (n *Node) join(ctx context.Context, store *disk.Store, loaded disk.Loaded) (*loop, error) {
 	n.setIdentity(loaded.Identity, len(loaded.Entries) > 0 || loaded.Snapshot.Index > 0)
 	l := n.newLoop(store, loaded)
 	bootstrap, err := n.handshake(ctx, l.core)
@@ -108,7 +123,7 @@
 		l, err = n.replaceDisk(store)
 	}
 	if err != nil {
-		return fmt.Errorf("handshake with members: %w", err)
+		return nil, err
 	}
 	if bootstrap {
 		l.core.Bootstrap(n.firstMembers())
@@ -117,8 +132,7 @@
 	n.started = true
 	n.mu.Unlock()
 	close(n.ready)
-	go n.introduce(ctx)
-	return l.run(ctx)
+	return l, nil
 }
 
 func newDiskID() samphirepass.DiskID {
