leaf: Send no retry to a leaf that drains

Cause, found by reading: a query keeps its plan until its deadline, of up to 60 s, and its retries and hedges could go to a leaf that had begun to drain. Ruled out: first attempts (plans follow announcements within 100 ms) and runs (the leaf is picked after the claim). Change: an extra attempt looks at the leaf's present state. Before: TestProofDrainMidQuery fails without the look. After: it passes.

--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -112,6 +112,7 @@
 	return true
 }
 
+// untried returns the leaves that a shard may still be asked from; the plan may be older than a leaf's drain.
 func (f *fanOut) untried(shard int) []Known {
 	tried := f.shards[shard].tried
 	if len(tried) == 0 {
@@ -119,7 +120,7 @@
 	}
 	var out []Known
 	for _, k := range f.plan.Shards[shard] {
-		if !slices.Contains(tried, k.Leaf) {
+		if !slices.Contains(tried, k.Leaf) && !f.g.planner.Leaving(k) {
 			out = append(out, k)
 		}
 	}
--- a/leaf/gather_test.go
+++ b/leaf/gather_test.go
@@ -212,6 +212,46 @@
 	}
 }
 
+// TestProofDrainMidQuery lets a leaf drain after the query was planned; the other leaf's failure must not bring it work.
+func TestProofDrainMidQuery(t *testing.T) {
+	clock := samphirepass.SystemClock{}
+	tests := map[string]struct {
+		drains bool
+		whole  bool
+	}{
+		"serving": {whole: true},
+		"drains":  {drains: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := leaf.NewRegistry(clock)
+			for _, a := range replicas()[:2] {
+				a.Holdings[0].Shards = 1
+				r.Hear(a, 0, true)
+			}
+			first := samphirepass.Leaf("")
+			s := &scripted{}
+			s.answer = func(_ context.Context, to samphirepass.Leaf, _ int, a samphirepass.Attempt) (samphirepass.Reply, error) {
+				if first == "" || first == to {
+					first = to
+					if tt.drains {
+						for _, name := range []string{"0-0", "0-1"} {
+							r.Hear(announcement(name, 1, 2, samphirepass.LeafDraining, hold(2, 1, 0)), 0, true)
+						}
+					}
+					return samphirepass.Reply{}, fail(samphirepass.FailureNotSent)
+				}
+				return good(a), nil
+			}
+			pool := leaf.NewPool(clock, fixedShares(1))
+			g := leaf.NewGatherer(leaf.NewPlanner(r, clock), pool, s, "derby", policy.Named(policy.NameMeasured, clock), clock)
+			got, err := g.Gather(t.Context(), request(100))
+			require.NoError(t, err)
+			require.Equal(t, tt.whole, got.Coverage.Whole())
+		})
+	}
+}
+
 func TestMergeTop(t *testing.T) {
 	s := &scripted{answer: func(_ context.Context, _ samphirepass.Leaf, _ int, a samphirepass.Attempt) (samphirepass.Reply, error) {
 		return good(a), nil
--- a/leaf/plan.go
+++ b/leaf/plan.go
@@ -133,6 +133,11 @@
 	return c.plan
 }
 
+// Leaving reports whether a leaf of an earlier plan must get no new work.
+func (p *Planner) Leaving(k Known) bool {
+	return p.registry.Leaving(k)
+}
+
 // Other returns a plan on another snapshot than the one to avoid.
 func (p *Planner) Other(service samphirepass.Service, avoid samphirepass.Snapshot) Plan {
 	leaves, _ := p.registry.Usable(service)
--- a/leaf/registry.go
+++ b/leaf/registry.go
@@ -172,6 +172,14 @@
 	return usable(all, service, r.clock.Now()), version
 }
 
+// Leaving reports whether the life of a leaf that k tells of is over or draining.
+func (r *Registry) Leaving(k Known) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	now := r.leaves[k.Leaf]
+	return now.Incarnation != k.Incarnation || now.State == samphirepass.LeafDraining
+}
+
 // Version returns a number that changes whenever an announcement changes more than its sequence.
 func (r *Registry) Version() uint64 {
 	r.mu.RLock()
