entry: Drop a cell that nobody read

Cause: reading as a newcomer: the blackboard's cell for serving was written and only logged from, and the count of a disk's openings was never shown. Ruled out: reading the cell in requests, which look at the lease itself. Change: the cell is gone, the count is logged. Conclusion: no change of behaviour.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -31,8 +31,6 @@
 // Board holds the cells of one entry.
 type Board struct {
 	Config Cell[Config]
-	// Serving tells whether the configuration is known to be current enough to serve with.
-	Serving Cell[bool]
 	// Stopping is set once the process has been told to stop.
 	Stopping Cell[bool]
 }
--- a/control/node.go
+++ b/control/node.go
@@ -101,6 +101,7 @@
 		return fmt.Errorf("open data folder: %w", err)
 	}
 	defer store.Close()
+	n.o.Log("Disk %s opened, time %d.", loaded.Disk, loaded.Boot)
 	l, err := n.join(ctx, store, loaded)
 	if err != nil {
 		close(n.halted)
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -96,18 +96,17 @@
 	return s.o.Lease.Valid(s.o.Clock.Now(), s.o.VM, seated)
 }
 
-// watchLease writes the lease's state to the blackboard.
+// watchLease logs when the entry begins and ceases to serve.
 func (s *Syncer) watchLease(ctx context.Context) {
 	t := time.NewTicker(servingEveryMs.Duration())
 	defer t.Stop()
+	before := false
 	for {
 		now := s.Serving()
-		s.o.Board.Serving.Update(func(before bool) (bool, bool) {
-			if before != now {
-				s.o.Log("Configuration current: %v.", now)
-			}
-			return now, before != now
-		})
+		if now != before {
+			s.o.Log("Configuration current: %v.", now)
+		}
+		before = now
 		select {
 		case <-t.C:
 		case <-ctx.Done():
