leaf: Forget leaves that are long gone

Ruled out: forgetting after the 4 s of silence (an overtaken announcement would bring a drained leaf back, and an entry that is cut off would lose all). Before: kept for ever. After: TestLongSilentLeavesAreForgotten passes.

--- a/leaf/registry.go
+++ b/leaf/registry.go
@@ -16,6 +16,20 @@
 // AliveMs is the age up to which a direct announcement is passed on as a sign of life.
 const AliveMs samphirepass.Millis = 2000
 
+const (
+	// forgetDrainedMs is the silence after which a leaf that drained is forgotten; none of its announcements is under way then.
+	forgetDrainedMs samphirepass.Millis = 10 * 60 * 1000
+	// forgetMs is the same for other leaves, longer than this side may be cut off.
+	forgetMs samphirepass.Millis = 24 * 3600 * 1000
+)
+
+func forgetAfter(s samphirepass.LeafState) samphirepass.Millis {
+	if s == samphirepass.LeafDraining {
+		return forgetDrainedMs
+	}
+	return forgetMs
+}
+
 // Known is an announcement with the time at which it was last heard.
 type Known struct {
 	samphirepass.Announcement
@@ -83,7 +97,8 @@
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	have, ok := r.leaves[a.Leaf]
-	if ok && !a.Newer(have.Announcement) {
+	// Another entry may not have forgotten yet what this one has.
+	if age > forgetAfter(a.State) || (ok && !a.Newer(have.Announcement)) {
 		return false, false
 	}
 	k := Known{Announcement: a, HeardMs: now - age, FirstMs: now, Direct: direct}
@@ -101,6 +116,20 @@
 	return true, before != after
 }
 
+// Forget drops the leaves that have been silent for so long that nothing of theirs can still be under way.
+func (r *Registry) Forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	for name, k := range r.leaves {
+		if now-k.HeardMs > forgetAfter(k.State) {
+			delete(r.leaves, name)
+			r.digest ^= k.content
+			r.version++
+		}
+	}
+}
+
 // Confirm takes in a sign of life.
 func (r *Registry) Confirm(a Alive) {
 	r.mu.Lock()
--- a/leaf/registry_test.go
+++ b/leaf/registry_test.go
@@ -88,6 +88,34 @@
 	}
 }
 
+func TestLongSilentLeavesAreForgotten(t *testing.T) {
+	const minute = 60_000
+	tests := map[string]struct {
+		state samphirepass.LeafState
+		age   samphirepass.Millis
+		want  int
+	}{
+		"a drained leaf, lately":  {samphirepass.LeafDraining, 9 * minute, 1},
+		"a drained leaf":          {samphirepass.LeafDraining, 11 * minute, 0},
+		"a silent leaf for hours": {samphirepass.LeafServing, 23 * 60 * minute, 1},
+		"a silent leaf for a day": {samphirepass.LeafServing, 25 * 60 * minute, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := &manual{now: 1e9}
+			r, empty := leaf.NewRegistry(clock), leaf.NewRegistry(clock).Digest()
+			r.Hear(announcement("a", 1, 1, tt.state), 0, true)
+			clock.now += tt.age
+			table := r.Table()
+			r.Forget()
+			require.Len(t, r.All(), tt.want)
+			require.Equal(t, tt.want == 0, r.Digest() == empty)
+			r.Hear(table[0].Announcement, table[0].AgeMs, false)
+			require.Len(t, r.All(), tt.want, "another entry brought it back")
+		})
+	}
+}
+
 func TestRegistriesConverge(t *testing.T) {
 	a, b := leaf.NewRegistry(&manual{}), leaf.NewRegistry(&manual{})
 	a.Hear(announcement("a", 1, 1, samphirepass.LeafServing), 0, true)
--- a/leaf/warm.go
+++ b/leaf/warm.go
@@ -37,6 +37,7 @@
 	t := time.NewTicker(warmEveryMs.Duration())
 	defer t.Stop()
 	for {
+		m.registry.Forget()
 		known := m.registry.All()
 		m.pool.Refresh(known)
 		for _, k := range known {
