scenario: Keep the probing of ports apart from forks

Since scripts run three at a time, a process that is being forked for one holds the probed listener of another until it runs its own program. The clean-up then met a process never started. Ruled out: the product (nothing had been started), two scripts with one port (each gets its own from a counter). Change: one lock around probing and around starting; the clean-up passes over what was not started. Conclusion: a fault of the scaffolding, from running scripts side by side.

--- a/scenario/system_test.go
+++ b/scenario/system_test.go
@@ -37,6 +37,10 @@
 
 var nextPort atomic.Int64
 
+// forking keeps the probing of ports apart from the starting of processes:
+// a process that has just been forked holds every open listener until it runs its own program.
+var forking sync.Mutex
+
 // process is one control or entry process with the relay that its peers reach it by.
 type process struct {
 	settings settings.File
@@ -78,6 +82,8 @@
 
 // freePort returns a port below the ephemeral ones on which nothing listens at ip.
 func freePort(ip string) (string, error) {
+	forking.Lock()
+	defer forking.Unlock()
 	for range lastPort - firstPort {
 		port := firstPort + (nextPort.Add(1)+int64(os.Getpid())*37)%(lastPort-firstPort)
 		address := fmt.Sprintf("%s:%d", ip, port)
@@ -169,7 +175,10 @@
 	p.cmd = exec.Command(self, string(p.settings.Role), "--settings", p.path)
 	p.cmd.Env = append(os.Environ(), daemonVariable+"=1")
 	p.cmd.Stderr = out
-	if err := p.cmd.Start(); err != nil {
+	forking.Lock()
+	err = p.cmd.Start()
+	forking.Unlock()
+	if err != nil {
 		return err
 	}
 	p.exited = make(chan error, 1)
@@ -199,9 +208,12 @@
 		s.load.stop()
 	}
 	for _, p := range s.processes {
+		p.relay.Close()
+		if p.exited == nil {
+			continue
+		}
 		_ = p.signal(syscall.SIGKILL)
 		_ = p.awaitExit()
-		p.relay.Close()
 	}
 	for _, l := range s.leaves {
 		l.Stop()
