--- a/bench/client.go
+++ b/bench/client.go
@@ -9,7 +9,7 @@
 	"net/http"
 
 	"samphirepass"
-	"samphirepass/platform"
+	"samphirepass/web"
 )
 
 // Client sends queries to the API of one entry.
@@ -49,7 +49,7 @@
 		return fmt.Errorf("read answer: %w", err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		var e platform.ErrorBody
+		var e web.ErrorBody
 		if err := json.Unmarshal(data, &e); err != nil || e.Error == nil {
 			return fmt.Errorf("answer %s: %q", resp.Status, data)
 		}
--- a/caller/query.go
+++ b/caller/query.go
@@ -8,7 +8,8 @@
 
 	"samphirepass"
 	"samphirepass/leaf"
-	"samphirepass/platform"
+	"samphirepass/metrics"
+	"samphirepass/web"
 )
 
 // partialBody is the answer to a query whose service refuses partial answers.
@@ -22,19 +23,19 @@
 	began := a.o.Clock.Now()
 	var q samphirepass.Query
 	if err := decode(w, r, &q); err != nil {
-		platform.WriteError(w, err)
+		web.WriteError(w, err)
 		return
 	}
 	acc, err := a.accept(r, q.Caller, q.DeadlineMs)
 	if err != nil {
-		platform.WriteError(w, err)
+		web.WriteError(w, err)
 		return
 	}
 	answer, err := a.answer(r.Context(), acc, q, began)
 	took := a.o.Clock.Now() - began
 	if err != nil {
-		a.o.Metrics.Query(acc.service, acc.caller, acc.class, platform.QueryRefused, took)
-		platform.WriteError(w, err)
+		a.o.Metrics.Query(acc.service, acc.caller, acc.class, metrics.QueryRefused, took)
+		web.WriteError(w, err)
 		return
 	}
 	a.reply(w, acc, answer, took)
@@ -44,18 +45,18 @@
 func (a *API) reply(w http.ResponseWriter, acc accepted, answer samphirepass.Answer, took samphirepass.Millis) {
 	switch {
 	case answer.Whole:
-		a.o.Metrics.Query(acc.service, acc.caller, acc.class, platform.QueryWhole, took)
+		a.o.Metrics.Query(acc.service, acc.caller, acc.class, metrics.QueryWhole, took)
 	case acc.spec.Partial == samphirepass.PartialAllowed:
-		a.o.Metrics.Query(acc.service, acc.caller, acc.class, platform.QueryPartial, took)
+		a.o.Metrics.Query(acc.service, acc.caller, acc.class, metrics.QueryPartial, took)
 	default:
-		a.o.Metrics.Query(acc.service, acc.caller, acc.class, platform.QueryRefused, took)
+		a.o.Metrics.Query(acc.service, acc.caller, acc.class, metrics.QueryRefused, took)
 		refusal := samphirepass.Refuse(samphirepass.CodePartial, "%d of %d shards answered and the service refuses partial answers", answer.Coverage.Answered, answer.Coverage.Total)
 		// A query has no effects, but its shards have been asked.
 		refusal.NotRun = false
-		platform.WriteJSON(w, platform.Status(refusal.Code), partialBody{Error: refusal, Coverage: answer.Coverage, Snapshot: answer.Snapshot})
+		web.WriteJSON(w, web.Status(refusal.Code), partialBody{Error: refusal, Coverage: answer.Coverage, Snapshot: answer.Snapshot})
 		return
 	}
-	platform.WriteJSON(w, http.StatusOK, answer)
+	web.WriteJSON(w, http.StatusOK, answer)
 }
 
 func (a *API) answer(ctx context.Context, acc accepted, q samphirepass.Query, began samphirepass.Millis) (samphirepass.Answer, error) {
--- a/caller/run.go
+++ b/caller/run.go
@@ -15,7 +15,7 @@
 	"samphirepass"
 	"samphirepass/leaf"
 	"samphirepass/ledger"
-	"samphirepass/platform"
+	"samphirepass/web"
 )
 
 // runMarginMs is added to a run's deadline before its record counts as one of unknown outcome.
@@ -54,17 +54,17 @@
 func (a *API) run(w http.ResponseWriter, r *http.Request) {
 	var run samphirepass.Run
 	if err := decode(w, r, &run); err != nil {
-		platform.WriteError(w, err)
+		web.WriteError(w, err)
 		return
 	}
 	keyMs, err := keyTime(run.Key)
 	if err != nil {
-		platform.WriteError(w, err)
+		web.WriteError(w, err)
 		return
 	}
 	acc, err := a.accept(r, run.Caller, run.DeadlineMs)
 	if err != nil {
-		platform.WriteError(w, err)
+		web.WriteError(w, err)
 		return
 	}
 	// A caller that hangs up must not leave its run without a recorded outcome.
@@ -72,11 +72,11 @@
 	defer cancel()
 	answer, err := a.runOnce(ctx, acc, run, keyMs)
 	if err != nil {
-		platform.WriteError(w, err)
+		web.WriteError(w, err)
 		return
 	}
 	a.o.Metrics.Run(acc.service, answer.State)
-	platform.WriteJSON(w, http.StatusOK, answer)
+	web.WriteJSON(w, http.StatusOK, answer)
 }
 
 // runOnce claims the key, sends the run and records its outcome.
@@ -207,21 +207,21 @@
 func (a *API) runState(w http.ResponseWriter, r *http.Request) {
 	key := samphirepass.RunKey(r.PathValue("key"))
 	if _, err := keyTime(key); err != nil {
-		platform.WriteError(w, err)
+		web.WriteError(w, err)
 		return
 	}
 	reply, err := a.o.Control.Run(r.Context(), key)
 	if err != nil {
-		platform.WriteError(w, err)
+		web.WriteError(w, err)
 		return
 	}
 	if !reply.Found {
 		refusal := samphirepass.Refuse(samphirepass.CodeNotFound, "no request with this key was claimed")
 		// A request with the key may still be on its way.
 		refusal.NotRun = false
-		platform.WriteError(w, refusal)
+		web.WriteError(w, refusal)
 		return
 	}
 	rec := reply.Record
-	platform.WriteJSON(w, http.StatusOK, RunAnswer{Key: rec.Key, Service: rec.Service, State: rec.State, Outcome: rec.Outcome})
+	web.WriteJSON(w, http.StatusOK, RunAnswer{Key: rec.Key, Service: rec.Service, State: rec.State, Outcome: rec.Outcome})
 }
--- a/caller/service.go
+++ b/caller/service.go
@@ -8,9 +8,10 @@
 	"samphirepass/blackboard"
 	"samphirepass/control"
 	"samphirepass/leaf"
-	"samphirepass/platform"
+	"samphirepass/metrics"
 	"samphirepass/policy"
 	"samphirepass/strict"
+	"samphirepass/web"
 )
 
 // Options set up an API.
@@ -20,7 +21,7 @@
 	Gatherer *leaf.Gatherer
 	Control  *control.Client
 	Policy   policy.Set
-	Metrics  *platform.Metrics
+	Metrics  *metrics.Metrics
 	Clock    samphirepass.Clock
 	// Serving reports at this moment whether the configuration may be served with.
 	Serving func() bool
@@ -72,7 +73,7 @@
 
 // decode reads a request's body and checks it.
 func decode(w http.ResponseWriter, r *http.Request, v any) error {
-	body, err := platform.ReadBody(w, r)
+	body, err := web.ReadBody(w, r)
 	if err != nil {
 		return err
 	}
--- a/contract/http_test.go
+++ b/contract/http_test.go
@@ -17,9 +17,9 @@
 	"samphirepass"
 	"samphirepass/bench"
 	"samphirepass/operator"
-	"samphirepass/platform"
 	"samphirepass/policy"
 	"samphirepass/standin"
+	"samphirepass/web"
 )
 
 var rig *bench.Rig
@@ -182,7 +182,7 @@
 			data, err := io.ReadAll(resp.Body)
 			require.NoError(t, err)
 			require.Equal(t, tt.status, resp.StatusCode, string(data))
-			var body platform.ErrorBody
+			var body web.ErrorBody
 			require.NoError(t, json.Unmarshal(data, &body), string(data))
 			require.NotNil(t, body.Error)
 			require.Equal(t, tt.code, body.Error.Code)
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -11,9 +11,10 @@
 	"samphirepass/control"
 	"samphirepass/disk"
 	"samphirepass/logs"
+	"samphirepass/metrics"
 	"samphirepass/peer"
-	"samphirepass/platform"
 	"samphirepass/settings"
+	"samphirepass/web"
 )
 
 // handOverTimeoutMs bounds the passing on of the leadership at a stop.
@@ -26,9 +27,9 @@
 	node     *control.Node
 	peers    *peer.Pool
 	peerWS   *peer.Server
-	metrics  *platform.Metrics
-	api      *platform.Server
-	peerHTTP *platform.Server
+	metrics  *metrics.Metrics
+	api      *web.Server
+	peerHTTP *web.Server
 }
 
 // NewControl opens the data folder and the listeners of a control member; Run makes it work.
@@ -37,7 +38,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open data folder: %w", err)
 	}
-	c := &Control{cfg: cfg, log: log, peers: &peer.Pool{From: cfg.PeerIP()}, metrics: platform.NewMetrics()}
+	c := &Control{cfg: cfg, log: log, peers: &peer.Pool{From: cfg.PeerIP()}, metrics: metrics.NewMetrics()}
 	c.node = control.NewNode(control.Options{
 		VM: cfg.VM, Address: cfg.Peer, Members: cfg.Members(), Seats: cfg.EntrySeats, Files: folder,
 		Clock: samphirepass.SystemClock{}, Peers: c.peers, SnapshotEntries: cfg.SnapshotEntries, Log: log.For("control").Infof,
@@ -47,10 +48,10 @@
 	c.peerWS = peer.NewServer(handlers)
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.Path, c.peerWS)
-	if c.peerHTTP, err = platform.Listen(cfg.PeerListen, peerMux); err != nil {
+	if c.peerHTTP, err = web.Listen(cfg.PeerListen, peerMux); err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	if c.api, err = platform.Listen(cfg.API, c.handler()); err != nil {
+	if c.api, err = web.Listen(cfg.API, c.handler()); err != nil {
 		return nil, fmt.Errorf("listen for the platform: %w", err)
 	}
 	return c, nil
@@ -58,15 +59,15 @@
 
 func (c *Control) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET "+platform.PathReady, platform.Readiness(func() string { return "" }))
-	mux.Handle("GET "+platform.PathMetrics, c.metrics.Handler())
+	mux.Handle("GET "+web.PathReady, web.Readiness(func() string { return "" }))
+	mux.Handle("GET "+web.PathMetrics, c.metrics.Handler())
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
 		status, err := c.node.Status(r.Context())
 		if err != nil {
-			platform.WriteError(w, err)
+			web.WriteError(w, err)
 			return
 		}
-		platform.WriteJSON(w, http.StatusOK, status)
+		web.WriteJSON(w, http.StatusOK, status)
 	})
 	return mux
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -18,11 +18,12 @@
 	"samphirepass/lease"
 	"samphirepass/ledger"
 	"samphirepass/logs"
+	"samphirepass/metrics"
 	"samphirepass/operator"
 	"samphirepass/peer"
-	"samphirepass/platform"
 	"samphirepass/policy"
 	"samphirepass/settings"
+	"samphirepass/web"
 )
 
 const (
@@ -46,11 +47,11 @@
 	relay    *entry.Relay
 	warmer   *leaf.Warmer
 	calls    *caller.API
-	metrics  *platform.Metrics
+	metrics  *metrics.Metrics
 	peers    *peer.Pool
 	peerWS   *peer.Server
-	api      *platform.Server
-	peerHTTP *platform.Server
+	api      *web.Server
+	peerHTTP *web.Server
 }
 
 // NewEntry opens the listeners of an entry; Run makes it work.
@@ -58,7 +59,7 @@
 	clock := samphirepass.SystemClock{}
 	e := &Entry{
 		cfg: cfg, process: uuid.NewString(), log: log, board: &blackboard.Board{}, registry: leaf.NewRegistry(clock),
-		metrics: platform.NewMetrics(), peers: &peer.Pool{From: cfg.PeerIP()},
+		metrics: metrics.NewMetrics(), peers: &peer.Pool{From: cfg.PeerIP()},
 	}
 	e.client = control.NewClient(cfg.Members(), e.peers)
 	o := entry.Options{
@@ -113,10 +114,10 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.Path, e.peerWS)
 	var err error
-	if e.peerHTTP, err = platform.Listen(e.cfg.PeerListen, peerMux); err != nil {
+	if e.peerHTTP, err = web.Listen(e.cfg.PeerListen, peerMux); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	if e.api, err = platform.Listen(e.cfg.API, e.handler()); err != nil {
+	if e.api, err = web.Listen(e.cfg.API, e.handler()); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	return nil
@@ -127,8 +128,8 @@
 	e.calls.Register(mux)
 	(&operator.API{Board: e.board, Control: e.client, Registry: e.registry, VM: e.cfg.VM, Serving: e.syncer.Serving}).Register(mux)
 	mux.Handle("POST /v1/announcements", leaf.Announcements(e.registry, e.relay.Spread))
-	mux.Handle("GET "+platform.PathReady, platform.Readiness(e.notReady))
-	mux.Handle("GET "+platform.PathMetrics, e.metrics.Handler())
+	mux.Handle("GET "+web.PathReady, web.Readiness(e.notReady))
+	mux.Handle("GET "+web.PathMetrics, e.metrics.Handler())
 	return e.closeWhenStopping(mux)
 }
 
--- a/leaf/announce.go
+++ b/leaf/announce.go
@@ -5,8 +5,8 @@
 	"net/http"
 
 	"samphirepass"
-	"samphirepass/platform"
 	"samphirepass/strict"
+	"samphirepass/web"
 )
 
 // Receipt answers an announcement.
@@ -24,25 +24,25 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a, err := readAnnouncement(w, r)
 		if err != nil {
-			platform.WriteError(w, err)
+			web.WriteError(w, err)
 			return
 		}
 		newer, changed := registry.Hear(a, 0, true)
 		if !newer {
-			platform.WriteError(w, outdated())
+			web.WriteError(w, outdated())
 			return
 		}
 		receipt := Receipt{HeldBy: 1, Entries: 1}
 		if changed || a.State == samphirepass.LeafDraining {
 			receipt.HeldBy, receipt.Entries = spread(r.Context(), a)
 		}
-		platform.WriteJSON(w, http.StatusOK, receipt)
+		web.WriteJSON(w, http.StatusOK, receipt)
 	})
 }
 
 func readAnnouncement(w http.ResponseWriter, r *http.Request) (samphirepass.Announcement, error) {
 	var a samphirepass.Announcement
-	body, err := platform.ReadBody(w, r)
+	body, err := web.ReadBody(w, r)
 	if err != nil {
 		return a, err
 	}
--- /dev/null
+++ b/metrics/doc.go
@@ -0,0 +1,2 @@
+// Package metrics counts what a process does, for a metrics collector.
+package metrics
--- a/platform/metrics.go
+++ b/metrics/metrics.go
@@ -1,4 +1,4 @@
-package platform
+package metrics
 
 import (
 	"net/http"
--- a/operator/api.go
+++ b/operator/api.go
@@ -12,8 +12,8 @@
 	"samphirepass/control"
 	"samphirepass/leaf"
 	"samphirepass/ledger"
-	"samphirepass/platform"
 	"samphirepass/strict"
+	"samphirepass/web"
 )
 
 // changeTimeoutMs bounds the wait until a change is in force.
@@ -91,7 +91,7 @@
 		var body PutBody
 		change, err := readPut(w, r, kind, &body)
 		if err != nil {
-			platform.WriteError(w, err)
+			web.WriteError(w, err)
 			return
 		}
 		a.change(w, r, change)
@@ -103,7 +103,7 @@
 	if err := checkName(name); err != nil {
 		return samphirepass.Change{}, err
 	}
-	data, err := platform.ReadBody(w, r)
+	data, err := web.ReadBody(w, r)
 	if err != nil {
 		return samphirepass.Change{}, err
 	}
@@ -134,12 +134,12 @@
 		q := r.URL.Query()
 		base, err := strconv.ParseUint(q.Get("base-revision"), 10, 64)
 		if err != nil {
-			platform.WriteError(w, invalidQuery("base-revision", "a whole number"))
+			web.WriteError(w, invalidQuery("base-revision", "a whole number"))
 			return
 		}
 		id := q.Get("change-id")
 		if id == "" || len(id) > maxChangeID {
-			platform.WriteError(w, invalidQuery("change-id", "1 to 128 characters"))
+			web.WriteError(w, invalidQuery("change-id", "1 to 128 characters"))
 			return
 		}
 		a.change(w, r, samphirepass.Change{
@@ -159,7 +159,7 @@
 	defer cancel()
 	result, err := a.Control.Propose(ctx, ledger.Command{Change: &c})
 	if err != nil {
-		platform.WriteError(w, err)
+		web.WriteError(w, err)
 		return
 	}
 	writeChange(w, c, *result.Change)
@@ -168,13 +168,13 @@
 func writeChange(w http.ResponseWriter, c samphirepass.Change, result samphirepass.ChangeResult) {
 	switch {
 	case result.Accepted:
-		platform.WriteJSON(w, http.StatusOK, ChangeAnswer{Revision: result.Revision})
+		web.WriteJSON(w, http.StatusOK, ChangeAnswer{Revision: result.Revision})
 	case result.Code == samphirepass.CodeConflict:
 		refusal := samphirepass.Refuse(result.Code, "%s %q is at revision %d, the change was made from %d", c.Kind, c.Name, result.Winner.Revision, c.Base)
 		refusal.Field, refusal.Allowed = "base-revision", "the resource's present revision"
-		platform.WriteJSON(w, http.StatusConflict, ConflictBody{Error: refusal, Winner: result.Winner, WinnerChange: result.WinnerChange})
+		web.WriteJSON(w, http.StatusConflict, ConflictBody{Error: refusal, Winner: result.Winner, WinnerChange: result.WinnerChange})
 	default:
-		platform.WriteError(w, samphirepass.Refuse(result.Code, "%s %q was not changed", c.Kind, c.Name))
+		web.WriteError(w, samphirepass.Refuse(result.Code, "%s %q was not changed", c.Kind, c.Name))
 	}
 }
 
@@ -183,14 +183,14 @@
 		name := r.PathValue("name")
 		reply, err := a.read(r.Context(), kind, name)
 		if err != nil {
-			platform.WriteError(w, err)
+			web.WriteError(w, err)
 			return
 		}
 		if len(reply.Resources) == 0 {
-			platform.WriteError(w, samphirepass.Refuse(samphirepass.CodeNotFound, "no %s %q", kind, name))
+			web.WriteError(w, samphirepass.Refuse(samphirepass.CodeNotFound, "no %s %q", kind, name))
 			return
 		}
-		platform.WriteJSON(w, http.StatusOK, reply.Resources[0])
+		web.WriteJSON(w, http.StatusOK, reply.Resources[0])
 	}
 }
 
@@ -208,13 +208,13 @@
 		}
 		reply, err := a.read(r.Context(), kind, "")
 		if err != nil {
-			platform.WriteError(w, err)
+			web.WriteError(w, err)
 			return
 		}
 		items := reply.Resources
 		if items == nil {
 			items = []samphirepass.Resource{}
 		}
-		platform.WriteJSON(w, http.StatusOK, ListBody{Revision: reply.Revision, Items: items})
+		web.WriteJSON(w, http.StatusOK, ListBody{Revision: reply.Revision, Items: items})
 	}
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -14,7 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"samphirepass"
-	"samphirepass/platform"
+	"samphirepass/web"
 )
 
 // Client talks to the resource API of one VM.
@@ -57,7 +57,7 @@
 }
 
 func readRefusal(resp *http.Response) error {
-	var body platform.ErrorBody
+	var body web.ErrorBody
 	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil || body.Error == nil {
 		return eris.Errorf("answer %s without a reason", resp.Status)
 	}
--- a/operator/status.go
+++ b/operator/status.go
@@ -8,8 +8,8 @@
 	"samphirepass/control"
 	"samphirepass/leaf"
 	"samphirepass/ledger"
-	"samphirepass/platform"
 	"samphirepass/strict"
+	"samphirepass/web"
 )
 
 // LeafStatus describes one leaf as this entry knows it.
@@ -43,7 +43,7 @@
 	for _, k := range a.Registry.All() {
 		body.Leaves = append(body.Leaves, leafStatus(k))
 	}
-	platform.WriteJSON(w, http.StatusOK, body)
+	web.WriteJSON(w, http.StatusOK, body)
 }
 
 func leafStatus(k leaf.Known) LeafStatus {
@@ -57,14 +57,14 @@
 }
 
 func (a *API) addMember(w http.ResponseWriter, r *http.Request) {
-	data, err := platform.ReadBody(w, r)
+	data, err := web.ReadBody(w, r)
 	if err != nil {
-		platform.WriteError(w, err)
+		web.WriteError(w, err)
 		return
 	}
 	var body MemberBody
 	if err := strict.DecodeRefusal(data, &body); err != nil {
-		platform.WriteError(w, err)
+		web.WriteError(w, err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), changeTimeoutMs.Duration())
@@ -82,10 +82,10 @@
 
 func writeStatus(w http.ResponseWriter, status control.Status, err error) {
 	if err != nil {
-		platform.WriteError(w, err)
+		web.WriteError(w, err)
 		return
 	}
-	platform.WriteJSON(w, http.StatusOK, status)
+	web.WriteJSON(w, http.StatusOK, status)
 }
 
 // releaseSeat frees the seat of an entry VM that is gone for good.
@@ -95,12 +95,12 @@
 	vm := samphirepass.VM(r.PathValue("vm"))
 	result, err := a.Control.Propose(ctx, ledger.Command{Seat: &ledger.SeatChange{VM: vm, Leave: true}})
 	if err != nil {
-		platform.WriteError(w, err)
+		web.WriteError(w, err)
 		return
 	}
 	if result.Refused != "" {
-		platform.WriteError(w, samphirepass.Refuse(result.Refused, "VM %q holds no seat", vm))
+		web.WriteError(w, samphirepass.Refuse(result.Refused, "VM %q holds no seat", vm))
 		return
 	}
-	platform.WriteJSON(w, http.StatusOK, struct{}{})
+	web.WriteJSON(w, http.StatusOK, struct{}{})
 }
--- a/operator/watch.go
+++ b/operator/watch.go
@@ -8,7 +8,7 @@
 
 	"samphirepass"
 	"samphirepass/blackboard"
-	"samphirepass/platform"
+	"samphirepass/web"
 )
 
 // bookmarkEveryMs is the time between two lines that tell a quiet watch how far it has come.
@@ -27,12 +27,12 @@
 func (a *API) watch(w http.ResponseWriter, r *http.Request, kind samphirepass.Kind) {
 	from, err := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	if err != nil {
-		platform.WriteError(w, invalidQuery("watch", "a revision"))
+		web.WriteError(w, invalidQuery("watch", "a revision"))
 		return
 	}
 	at := samphirepass.Revision(from)
 	if cfg := a.Board.Config.Value(); at < cfg.EventsAfter {
-		platform.WriteError(w, restartWatch(at))
+		web.WriteError(w, restartWatch(at))
 		return
 	}
 	w.Header().Set("Content-Type", "application/jsonl")
--- a/platform/health.go
+++ b/web/health.go
@@ -1,4 +1,4 @@
-package platform
+package web
 
 import "net/http"
 
