--- a/announce.go
+++ b/announce.go
@@ -8,8 +8,13 @@
 	LeafStarting LeafState = "starting"
 	LeafServing  LeafState = "serving"
 	LeafDraining LeafState = "draining"
+	// LeafGone is the state of a leaf that said that it leaves for good.
+	LeafGone LeafState = "gone"
 )
 
+// Leaving reports whether a leaf in state s gets no new work ever again.
+func (s LeafState) Leaving() bool { return s == LeafDraining || s == LeafGone }
+
 // Holding is one shard of one snapshot that a leaf holds.
 type Holding struct {
 	Snapshot Snapshot `json:"snapshot" validate:"required"`
@@ -32,6 +37,10 @@
 	Slots int `json:"slots" validate:"required,min=1,max=10000"`
 	// Connections is the number of connections that the leaf accepts in all.
 	Connections int `json:"connections" validate:"required,min=1,max=100000"`
+	// ColdMs is how much longer the leaf stays slow after its start, by its own word.
+	ColdMs Millis `json:"cold-ms,omitempty" validate:"min=0"`
+	// StartedMs is the wall time of the leaf's start, which tells leaves apart that follow each other at one address; 0 if it is not known.
+	StartedMs Millis `json:"started-ms,omitempty" validate:"min=0"`
 }
 
 // Newer reports whether a replaces b.
@@ -39,8 +48,8 @@
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
 	}
-	if (a.State == LeafDraining) != (b.State == LeafDraining) {
-		return a.State == LeafDraining
+	if a.State.Leaving() != b.State.Leaving() {
+		return a.State.Leaving()
 	}
 	return a.Sequence > b.Sequence
 }
--- a/attempt.go
+++ b/attempt.go
@@ -17,6 +17,10 @@
 	// DeadlineMs is the time that the leaf has, without the network's share.
 	DeadlineMs Millis
 	Body       []byte
+	// Exchange is set for a client's request that is passed on unchanged, in place of Body.
+	Exchange *Exchange
+	// Once is set where a second run would do harm.
+	Once bool
 }
 
 // Reply is a leaf's answer to one attempt, checked against it.
@@ -28,6 +32,8 @@
 	Load float64
 	// WorkedMs is the time that the request spent in the leaf.
 	WorkedMs Millis
+	// Answer is set for a passed-on request.
+	Answer *LeafAnswer
 }
 
 // FailureKind names a way in which an attempt fails.
@@ -45,6 +51,10 @@
 	FailureNotSent FailureKind = "not-sent"
 	// FailureSilent tells that the connection gave no byte for long while another of the same leaf proved dead.
 	FailureSilent FailureKind = "silent"
+	// FailureAnswered tells that the leaf ran the request and answered that it failed.
+	FailureAnswered FailureKind = "answered"
+	// FailureGone tells that another leaf answers at the address, which did no work.
+	FailureGone FailureKind = "gone"
 	// FailureLost tells that the connection broke or the time passed before a whole answer came.
 	FailureLost FailureKind = "lost"
 )
@@ -53,6 +63,8 @@
 type AttemptError struct {
 	Kind FailureKind
 	Err  error
+	// Reply is the leaf's own answer where Kind is FailureAnswered.
+	Reply Reply
 }
 
 // Error returns the kind and the cause.
@@ -65,7 +77,7 @@
 
 // NotRun reports whether the leaf certainly did nothing.
 func (e *AttemptError) NotRun() bool {
-	return e.Kind == FailureShed || e.Kind == FailureNotHeld || e.Kind == FailureNotSent
+	return e.Kind == FailureShed || e.Kind == FailureNotHeld || e.Kind == FailureNotSent || e.Kind == FailureGone
 }
 
 // Free reports whether the leaf had no work from the attempt, so that another one is no extra load.
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -69,10 +69,10 @@
 	e.syncer = entry.NewSyncer(o)
 	e.relay = entry.NewRelay(o, e.registry)
 	e.pool = leaf.NewPool(clock, seatShares{vm: cfg.VM, board: e.board})
-	e.warmer = leaf.NewWarmer(e.registry, e.pool, clock)
+	e.warmer = leaf.NewWarmer(e.registry, e.pool, leaf.Native{}, clock)
 	set := policy.Named(cfg.Policy, clock)
 	planner := leaf.NewPlanner(e.registry, clock)
-	gatherer := leaf.NewGatherer(planner, e.pool, leaf.NewSender(e.pool, clock), cfg.DataCentre, set, clock)
+	gatherer := leaf.NewGatherer(planner, e.pool, leaf.NewSender(e.pool, leaf.Native{}, clock), cfg.DataCentre, set, clock)
 	e.calls = caller.New(caller.Options{
 		VM: cfg.VM, Board: e.board, Gatherer: gatherer, Control: e.client, Policy: set,
 		Metrics: e.metrics, Clock: clock, Serving: e.syncer.Serving,
--- a/errors.go
+++ b/errors.go
@@ -40,6 +40,8 @@
 	Allowed string `json:"allowed,omitempty"`
 	// NotRun promises that the request had no effect and will have none.
 	NotRun bool `json:"not-run"`
+	// RetryAfterMs is when another try is worth while, 0 if that is not known.
+	RetryAfterMs Millis `json:"retry-after-ms,omitempty"`
 	// Leader is the VM to ask instead, where it is known and the code is CodeNotLeader.
 	Leader VM `json:"leader,omitempty"`
 	// LeaderAddress is the peer address of Leader.
--- /dev/null
+++ b/leaf/changes.go
@@ -0,0 +1,99 @@
+package leaf
+
+import (
+	"slices"
+
+	"samphirepass"
+)
+
+// SilentMs is the time without a sign of life after which a leaf is reported silent; heartbeats may come seconds late.
+const SilentMs samphirepass.Millis = 6000
+
+// ChangesSince returns what changed after a version, for a follower, and the present version.
+func (r *Registry) ChangesSince(version uint64) ([]Heard, uint64) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if version == r.version {
+		return nil, r.version
+	}
+	now := r.clock.Now()
+	var out []Heard
+	for _, k := range r.leaves {
+		if k.changed > version {
+			out = append(out, Heard{Announcement: k.Announcement, AgeMs: now - k.HeardMs})
+		}
+	}
+	return out, r.version
+}
+
+// Silent returns the serving leaves without a sign of life for SilentMs, in the order of names.
+// Where most leaves fell silent at once the fault is likelier on this side, and none is returned.
+func (r *Registry) Silent() []samphirepass.Leaf {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	now := r.clock.Now()
+	serving := 0
+	var out []samphirepass.Leaf
+	for name, k := range r.leaves {
+		if k.State != samphirepass.LeafServing {
+			continue
+		}
+		serving++
+		if now-k.HeardMs > SilentMs {
+			out = append(out, name)
+		}
+	}
+	if len(out) > serving/2 {
+		return nil
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Report takes in which leaves a source of announcements calls silent; nil takes the source's report back.
+func (r *Registry) Report(source string, silent []samphirepass.Leaf, present bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !present {
+		delete(r.reports, source)
+		return
+	}
+	set := make(map[samphirepass.Leaf]bool, len(silent))
+	for _, name := range silent {
+		set[name] = true
+	}
+	r.reports[source] = set
+}
+
+// Serving returns the leaves of a service that may get work: they serve, and not all sources call them silent.
+func (r *Registry) Serving(service samphirepass.Service) []Known {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var out []Known
+	for name, k := range r.leaves {
+		if k.Service == service && k.State == samphirepass.LeafServing && !r.silentLocked(name) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+func (r *Registry) silentLocked(name samphirepass.Leaf) bool {
+	for _, silent := range r.reports {
+		if !silent[name] {
+			return false
+		}
+	}
+	return len(r.reports) > 0
+}
+
+// ReportVersion returns a number that changes with what Serving returns.
+func (r *Registry) ReportVersion() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	sum := r.version
+	for _, silent := range r.reports {
+		sum += uint64(len(silent)) << 32
+	}
+	return sum
+}
--- /dev/null
+++ b/leaf/deliver.go
@@ -0,0 +1,163 @@
+package leaf
+
+import (
+	"context"
+	"math"
+	"sync"
+
+	"samphirepass"
+	"samphirepass/policy"
+)
+
+const (
+	// lingerMs lets an attempt that is no longer needed end by itself, which keeps its connection; pauses of leaves last about 200 ms.
+	lingerMs samphirepass.Millis = 400
+	// goneLingerMs is the same once the client has gone, when a leaf's work is of use to nobody.
+	goneLingerMs samphirepass.Millis = 150
+	// shareTolerance keeps rounding from asking for one shard more than the declared share.
+	shareTolerance = 1e-9
+)
+
+// Delivery is one request of a client on its way to one leaf of each of its shards.
+type Delivery struct {
+	Request samphirepass.ClientRequest
+	Route   samphirepass.Route
+	// Shards are the services to ask; a request that goes to one service has just that.
+	Shards []samphirepass.Service
+	// SettleMs is the time from which an answer without stragglers is better than a late one, 0 for never.
+	SettleMs samphirepass.Millis
+	// PatienceMs is how long an answer that is late already waits to become whole.
+	PatienceMs samphirepass.Millis
+}
+
+// least returns the number of shards without which there is no answer.
+func (d Delivery) least() int {
+	if !d.Route.Gathers() {
+		return 1
+	}
+	return max(int(math.Ceil(d.Route.LeastShare*float64(len(d.Shards))-shareTolerance)), 1)
+}
+
+// Delivered is what the leaves gave.
+type Delivered struct {
+	// Replies has one element for each shard, nil where none came.
+	Replies []*samphirepass.Reply
+	// Answered counts the replies, Known the shards for which a leaf was known.
+	Answered, Known int
+	// Least is the number of replies without which there is no answer.
+	Least int
+	// Failure is the last answer of a leaf that ran the request and failed.
+	Failure *samphirepass.Reply
+	// MaybeRun is set where a leaf may have run the request.
+	MaybeRun bool
+	// Extra counts the hedges and retries, Attempts all leaf requests.
+	Extra, Attempts int
+	// HalfMs is the time after which half of the shards had been answered or given up.
+	HalfMs samphirepass.Millis
+	// Shed is set where shards lack because leaves refused work or the deadline passed.
+	Shed bool
+}
+
+// Deliverer passes clients' requests on by routes; it is safe for concurrent use.
+type Deliverer struct {
+	*fleet
+	budgets func(samphirepass.Service) samphirepass.Budget
+	percent samphirepass.Percent
+
+	mu      sync.Mutex
+	hedgers map[samphirepass.RouteName]samphirepass.Hedger
+}
+
+// DelivererOptions set up a Deliverer.
+type DelivererOptions struct {
+	Registry *Registry
+	Pool     *Pool
+	Sender   samphirepass.Sender
+	Centre   samphirepass.DataCentre
+	Chooser  samphirepass.Chooser
+	Clock    samphirepass.Clock
+	// Budget returns the budget of extra attempts of a service.
+	Budget func(samphirepass.Service) samphirepass.Budget
+	// ExtraPercent is the share of extra attempts that budgets are meant for.
+	ExtraPercent samphirepass.Percent
+}
+
+// NewDeliverer returns a deliverer for an entry.
+func NewDeliverer(o DelivererOptions) *Deliverer {
+	return &Deliverer{
+		fleet:   &fleet{registry: o.Registry, pool: o.Pool, sender: o.Sender, centre: o.Centre, chooser: o.Chooser, clock: o.Clock},
+		budgets: o.Budget, percent: o.ExtraPercent, hedgers: map[samphirepass.RouteName]samphirepass.Hedger{},
+	}
+}
+
+func (d *Deliverer) hedger(route samphirepass.RouteName) samphirepass.Hedger {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := d.hedgers[route]
+	if h == nil {
+		h = policy.NewQuantile(d.percent)
+		d.hedgers[route] = h
+	}
+	return h
+}
+
+// Retain forgets what was measured of routes that are no longer there.
+func (d *Deliverer) Retain(routes []samphirepass.Route) {
+	there := make(map[samphirepass.RouteName]bool, len(routes))
+	for _, r := range routes {
+		there[r.Name] = true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name := range d.hedgers {
+		if !there[name] {
+			delete(d.hedgers, name)
+		}
+	}
+}
+
+// Covered counts the shards for which a leaf is known that may get work.
+func (d *Deliverer) Covered(shards []samphirepass.Service) int {
+	n := 0
+	for _, s := range shards {
+		if len(d.registry.Serving(s)) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Deliver sends a request to one leaf of each shard and returns what came before the request's deadline.
+func (d *Deliverer) Deliver(ctx context.Context, one Delivery) Delivered {
+	began := d.clock.Now()
+	leaves := make([][]Known, len(one.Shards))
+	c := course{
+		hedger: d.hedger(one.Route.Name), budgets: make([]samphirepass.Budget, len(one.Shards)),
+		attempts: max(one.Route.Attempts, 1), once: one.Route.Kind == samphirepass.AtMostOnce,
+		settle: one.SettleMs, patience: one.PatienceMs, least: one.least(), linger: lingerMs, goneLinger: goneLingerMs,
+	}
+	out := Delivered{Least: c.least, Replies: make([]*samphirepass.Reply, len(one.Shards))}
+	for i, s := range one.Shards {
+		c.budgets[i] = d.budgets(s)
+		leaves[i] = d.registry.Serving(s)
+		if len(leaves[i]) > 0 {
+			out.Known++
+		}
+	}
+	c.attempt = func(shard int) samphirepass.Attempt {
+		return samphirepass.Attempt{
+			Request: one.Request.ID, Service: one.Shards[shard], Exchange: &one.Request.Exchange, Once: c.once,
+			DeadlineMs: one.Request.DeadlineMs - (d.clock.Now() - began),
+		}
+	}
+	f := newFanOut(ctx, d.fleet, c, leaves, began)
+	f.run()
+	for i := range f.shards {
+		if s := &f.shards[i]; s.answered {
+			out.Replies[i] = &s.reply
+		}
+	}
+	out.Answered, out.Failure, out.MaybeRun = f.answered, f.failure, f.maybeRun || f.running() > 0
+	out.Extra, out.Attempts, out.HalfMs, out.Shed = f.extra, f.attempts, f.halfMs, f.shed && f.answered < len(f.shards)
+	return out
+}
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -1,19 +1,17 @@
 package leaf
 
 import (
-	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"slices"
 	"time"
 
-	"github.com/google/uuid"
-
 	"samphirepass"
 )
 
+// maxFreeRetries bounds the attempts of one shard that cost no leaf anything.
+const maxFreeRetries = 4
+
 // result is the end of one attempt.
 type result struct {
 	shard int
@@ -24,52 +22,113 @@
 	err   error
 }
 
-// shardState is the course of one shard of one query.
+// shardState is the course of one shard of one request.
 type shardState struct {
-	tried   []samphirepass.Leaf
+	tried []samphirepass.Leaf
+	// spent counts the attempts that may have cost a leaf work.
+	spent   int
 	running int
 	started samphirepass.Millis
 	// hedgeFrom is the time from which the hedge delay counts.
 	hedgeFrom samphirepass.Millis
 	answered  bool
+	closed    bool
 	partial   bool
+	reply     samphirepass.Reply
 	items     []samphirepass.Item
 	cancels   []context.CancelCauseFunc
 }
 
-// fanOut is one query on one snapshot; only its own goroutine touches it.
+// fleet is what an entry sends attempts with.
+type fleet struct {
+	registry *Registry
+	pool     *Pool
+	sender   samphirepass.Sender
+	centre   samphirepass.DataCentre
+	chooser  samphirepass.Chooser
+	clock    samphirepass.Clock
+}
+
+// course says how one request is sent to its shards.
+type course struct {
+	hedger samphirepass.Hedger
+	// budgets has one element for each shard.
+	budgets []samphirepass.Budget
+	// attempts bounds the attempts on one shard that may cost a leaf work.
+	attempts int
+	// once is set where an attempt may follow another only if that one certainly did nothing.
+	once bool
+	// attempt returns the attempt to send to a leaf now.
+	attempt func(shard int) samphirepass.Attempt
+	// decode checks an answer further, and may be nil.
+	decode func(r *result) error
+	// settle is the time since the beginning from which an answer without stragglers is better than a later one, 0 for never.
+	settle samphirepass.Millis
+	// patience is the time after settle for which a late answer still waits to become whole.
+	patience samphirepass.Millis
+	// least is the number of shards without which there is no answer, 0 if any number will do.
+	least int
+	// linger is how long attempts that are no longer needed may go on, so that their connections can be kept.
+	linger samphirepass.Millis
+	// goneLinger is the same once the client has gone.
+	goneLinger samphirepass.Millis
+	// congested is set where requests wait for admission, when extra attempts would take the place of first ones.
+	congested bool
+	// progress is told which part of the shards is still open; it may be nil.
+	progress func(left float64)
+}
+
+// fanOut is one request on one set of shards; only its own goroutine touches it.
 type fanOut struct {
-	*decisions
-	g       *Gatherer
-	ctx     context.Context
-	request Request
-	plan    Plan
-	began   samphirepass.Millis
-	shards  []shardState
-	results chan result
-	timer   *time.Timer
+	*fleet
+	course
+	ctx context.Context
+	// attemptCtx outlives ctx by the course's linger.
+	attemptCtx context.Context
+	leaves     [][]Known
+	began      samphirepass.Millis
+	shards     []shardState
+	results    chan result
+	timer      *time.Timer
 	// open counts the shards that may still be answered.
-	open            int
+	open, answered  int
 	halfMs          samphirepass.Millis
 	extra, attempts int
 	shed, retired   bool
+	// late is set once the time to settle has passed without enough answers.
+	late bool
+	// maybeRun is set once an attempt failed that may have run.
+	maybeRun bool
+	// failure is the last answer of a leaf that ran an attempt and failed.
+	failure *samphirepass.Reply
+}
+
+// newFanOut readies a fan-out over leaves, which has one element for each shard.
+func newFanOut(ctx context.Context, f *fleet, c course, leaves [][]Known, began samphirepass.Millis) *fanOut {
+	return &fanOut{
+		fleet: f, course: c, ctx: ctx, leaves: leaves, began: began, shards: make([]shardState, len(leaves)),
+		results: make(chan result, len(leaves)*(c.attempts+maxFreeRetries)),
+	}
 }
 
+// run sends the attempts and returns once the request is answered, given up or out of time.
 func (f *fanOut) run() {
+	var end context.CancelCauseFunc
+	f.attemptCtx, end = context.WithCancelCause(context.WithoutCancel(f.ctx))
+	defer f.finish(end)
 	f.timer = time.NewTimer(time.Hour)
 	defer f.timer.Stop()
+	f.pay()
 	for i := range f.shards {
-		if len(f.plan.Shards[i]) > 0 {
+		if len(f.leaves[i]) > 0 {
 			f.open++
 			f.launch(i)
+		} else {
+			f.shards[i].closed = true
 		}
 	}
-	f.budget.Primary(f.attempts)
-	if f.request.Congested {
-		f.budget.Overload()
-	}
 	f.schedule()
-	for f.open > 0 {
+	for f.open > 0 && !f.settled() && f.reachable() {
 		select {
 		case r := <-f.results:
 			f.take(r)
@@ -84,66 +143,122 @@
 	}
 }
 
+// pay books the first attempt of each shard, in one go for shards that share a budget.
+func (f *fanOut) pay() {
+	for i := 0; i < len(f.budgets); {
+		n := 1
+		for i+n < len(f.budgets) && f.budgets[i+n] == f.budgets[i] {
+			n++
+		}
+		f.budgets[i].Primary(n)
+		if f.congested {
+			f.budgets[i].Overload()
+		}
+		i += n
+	}
+}
+
+// finish ends what still runs, at once or after the linger.
+func (f *fanOut) finish(end context.CancelCauseFunc) {
+	linger := f.linger
+	if f.ctx.Err() != nil {
+		linger = f.goneLinger
+	}
+	if f.running() == 0 || linger == 0 {
+		end(context.Cause(f.ctx))
+		return
+	}
+	time.AfterFunc(linger.Duration(), func() { end(samphirepass.ErrBeaten) })
+}
+
+// running counts the attempts under way.
+func (f *fanOut) running() int {
+	n := 0
+	for i := range f.shards {
+		n += f.shards[i].running
+	}
+	return n
+}
+
+// settled reports whether the answer is better given now, without its stragglers.
+func (f *fanOut) settled() bool {
+	elapsed := f.clock.Now() - f.began
+	if f.settle == 0 || elapsed < f.settle {
+		return false
+	}
+	enough := f.answered > 0 && f.answered >= f.least
+	if !f.late && enough {
+		return true
+	}
+	// An answer that is late already may as well become whole.
+	f.late = true
+	return enough && elapsed >= f.settle+f.patience
+}
+
+// reachable reports whether the least number of shards can still be answered.
+func (f *fanOut) reachable() bool {
+	return f.answered+f.open >= f.least
+}
+
 // launch starts an attempt on a leaf that this shard has not tried, if there is one left.
 func (f *fanOut) launch(shard int) bool {
 	s := &f.shards[shard]
 	leaves := f.untried(shard)
-	if len(leaves) == 0 || len(s.tried) >= maxAttempts {
+	if len(leaves) == 0 || s.spent >= f.course.attempts || len(s.tried) >= f.course.attempts+maxFreeRetries {
 		return false
 	}
-	candidates := make([]samphirepass.Candidate, len(leaves))
-	for i, k := range leaves {
-		candidates[i] = f.g.pool.Candidate(k, f.g.centre)
-	}
-	k := leaves[f.g.policy.Chooser.Choose(candidates)]
+	k := leaves[f.choose(leaves)]
 	s.tried = append(s.tried, k.Leaf)
+	s.spent++
 	s.running++
-	s.started = f.g.clock.Now()
+	s.started = f.clock.Now()
 	s.hedgeFrom = s.started
 	f.attempts++
-	ctx, cancel := context.WithCancelCause(f.ctx)
+	ctx, cancel := context.WithCancelCause(f.attemptCtx)
 	s.cancels = append(s.cancels, cancel)
-	a := samphirepass.Attempt{
-		Request: samphirepass.RequestID(uuid.NewString()), Service: f.request.Service, Snapshot: f.plan.Snapshot,
-		Shard: samphirepass.Shard(shard), Body: f.request.Body,
-		DeadlineMs: f.request.DeadlineMs - replyReserveMs - (s.started - f.began),
-	}
-	go f.attempt(ctx, shard, k, a)
+	go f.send(ctx, shard, k, f.attempt(shard))
 	return true
 }
 
+// choose returns the index of the leaf to send to.
+func (f *fleet) choose(leaves []Known) int {
+	candidates := make([]samphirepass.Candidate, len(leaves))
+	for i, k := range leaves {
+		candidates[i] = f.pool.Candidate(k, f.centre)
+	}
+	return f.chooser.Choose(candidates)
+}
+
 // untried returns the leaves that a shard may still be asked from; the plan may be older than a leaf's drain.
 func (f *fanOut) untried(shard int) []Known {
 	tried := f.shards[shard].tried
 	if len(tried) == 0 {
-		return f.plan.Shards[shard]
+		return f.leaves[shard]
 	}
 	var out []Known
-	for _, k := range f.plan.Shards[shard] {
-		if !slices.Contains(tried, k.Leaf) && !f.g.planner.Leaving(k) {
+	for _, k := range f.leaves[shard] {
+		if !slices.Contains(tried, k.Leaf) && !f.registry.Leaving(k) {
 			out = append(out, k)
 		}
 	}
 	return out
 }
 
-func (f *fanOut) attempt(ctx context.Context, shard int, k Known, a samphirepass.Attempt) {
-	began := f.g.clock.Now()
+func (f *fanOut) send(ctx context.Context, shard int, k Known, a samphirepass.Attempt) {
+	began := f.clock.Now()
 	r := result{shard: shard, leaf: k.Leaf}
-	r.reply, r.err = f.g.sender.Send(ctx, k.Announcement, a)
-	if r.err == nil {
-		if err := json.Unmarshal(r.reply.Body, &r.items); err != nil {
-			r.err = failed(samphirepass.FailureMismatch, fmt.Errorf("decode items of %s: %w", k.Leaf, err))
-		}
+	r.reply, r.err = f.sender.Send(ctx, k.Announcement, a)
+	if r.err == nil && f.decode != nil {
+		r.err = f.decode(&r)
 	}
-	r.took = f.g.clock.Now() - began
+	r.took = f.clock.Now() - began
 	f.results <- r
 }
 
 func (f *fanOut) take(r result) {
 	s := &f.shards[r.shard]
 	s.running--
-	if s.answered {
+	if s.closed {
 		return
 	}
 	if r.err != nil {
@@ -156,25 +271,29 @@
 		f.takePartial(r)
 		return
 	}
-	s.answered, s.partial, s.items = true, false, r.items
+	s.answered, s.partial, s.items, s.reply = true, false, r.items, r.reply
+	f.answered++
 	f.close(r.shard)
 }
 
 // close ends a shard and cuts off what still runs for it.
 func (f *fanOut) close(shard int) {
 	s := &f.shards[shard]
+	s.closed = true
 	if s.running > 0 {
-		f.hedger.Observe(f.g.clock.Now() - s.started)
+		f.hedger.Observe(f.clock.Now() - s.started)
 	}
-	for _, cancel := range s.cancels {
-		cancel(samphirepass.ErrBeaten)
+	if s.running == 0 || f.linger == 0 {
+		for _, cancel := range s.cancels {
+			cancel(samphirepass.ErrBeaten)
+		}
 	}
 	f.open--
 	if f.halfMs == 0 && f.open <= len(f.shards)/2 {
-		f.halfMs = f.g.clock.Now() - f.began
+		f.halfMs = f.clock.Now() - f.began
 	}
-	if f.request.Progress != nil {
-		f.request.Progress(float64(f.open) / float64(len(f.shards)))
+	if f.progress != nil {
+		f.progress(float64(f.open) / float64(len(f.shards)))
 	}
 }
 
@@ -183,23 +302,35 @@
 	if !s.partial || len(r.items) > len(s.items) {
 		s.partial, s.items = true, r.items
 	}
-	f.retry(r.shard, f.budget.Take)
+	f.retry(r.shard, f.budgets[r.shard].Take)
 }
 
 func (f *fanOut) takeFailure(r result) {
-	pay := f.budget.Take
+	budget := f.budgets[r.shard]
+	pay := budget.Take
 	var failure *samphirepass.AttemptError
-	if errors.As(r.err, &failure) {
-		switch {
-		case failure.Kind == samphirepass.FailureShed:
-			f.shed = true
-			f.budget.Shed()
-			pay = f.budget.TakeCheap
-		case failure.Kind == samphirepass.FailureNotHeld:
-			f.retired = true
-			pay = f.budget.TakeCheap
-		case failure.Free():
-			pay = nil
+	if !errors.As(r.err, &failure) {
+		failure = &samphirepass.AttemptError{Kind: samphirepass.FailureLost, Err: r.err}
+	}
+	switch {
+	case failure.Kind == samphirepass.FailureShed:
+		f.shed = true
+		budget.Shed()
+		pay = budget.TakeCheap
+	case failure.Kind == samphirepass.FailureNotHeld:
+		f.retired = true
+		pay = budget.TakeCheap
+	case failure.Kind == samphirepass.FailureAnswered:
+		f.failure = &failure.Reply
+	case failure.Free():
+		pay = nil
+		f.shards[r.shard].spent--
+	}
+	if !failure.NotRun() {
+		f.maybeRun = true
+		if f.once {
+			f.close(r.shard)
+			return
 		}
 	}
 	f.retry(r.shard, pay)
@@ -237,34 +368,48 @@
 // schedule sets the timer to the time at which the next shard counts as late.
 func (f *fanOut) schedule() {
 	delay, ok := f.hedger.Delay()
-	if !ok {
-		return
-	}
-	next := samphirepass.Millis(-1)
+	next := f.nextSettle()
 	for i := range f.shards {
-		if at := f.shards[i].hedgeFrom + delay; f.hedgeable(i) && (next < 0 || at < next) {
+		if at := f.shards[i].hedgeFrom + delay; ok && f.hedgeable(i) && (next < 0 || at < next) {
 			next = at
 		}
 	}
 	if next >= 0 {
-		f.timer.Reset((next - f.g.clock.Now()).Duration())
+		f.timer.Reset((next - f.clock.Now()).Duration())
+	}
+}
+
+// nextSettle returns the next time at which the answer may be better given as it is, or a negative number.
+func (f *fanOut) nextSettle() samphirepass.Millis {
+	if f.settle == 0 {
+		return -1
+	}
+	now := f.clock.Now()
+	for _, at := range []samphirepass.Millis{f.began + f.settle, f.began + f.settle + f.patience} {
+		if at > now {
+			return at
+		}
 	}
+	return -1
 }
 
 // hedgeable reports whether a shard waits for one attempt and could have another.
 func (f *fanOut) hedgeable(shard int) bool {
 	s := &f.shards[shard]
-	return !s.answered && s.running == 1 && len(s.tried) < maxAttempts && len(f.untried(shard)) > 0
+	return !f.once && !s.closed && s.running == 1 && s.spent < f.course.attempts && len(f.untried(shard)) > 0
 }
 
 func (f *fanOut) hedge() {
-	delay, _ := f.hedger.Delay()
-	now := f.g.clock.Now()
+	delay, ok := f.hedger.Delay()
+	if !ok {
+		return
+	}
+	now := f.clock.Now()
 	for i := range f.shards {
 		if !f.hedgeable(i) || now-f.shards[i].hedgeFrom < delay {
 			continue
 		}
-		if !f.extraAttempt(i, f.budget.TakeHedge) {
+		if !f.extraAttempt(i, f.budgets[i].TakeHedge) {
 			// Without budget the shard is looked at again after another delay.
 			f.shards[i].hedgeFrom = now
 		}
@@ -273,44 +418,10 @@
 
 // cutOff books the attempts that the deadline ended as at least as slow as they were.
 func (f *fanOut) cutOff() {
-	now := f.g.clock.Now()
+	now := f.clock.Now()
 	for i := range f.shards {
-		if s := &f.shards[i]; !s.answered && s.running > 0 {
+		if s := &f.shards[i]; !s.closed && s.running > 0 {
 			f.hedger.Observe(now - s.started)
 		}
 	}
 }
-
-func (f *fanOut) gathered() Gathered {
-	out := Gathered{Snapshot: f.plan.Snapshot, Extra: f.extra, Attempts: f.attempts, Shed: f.shed}
-	out.HalfMs = f.halfMs
-	if out.HalfMs == 0 {
-		out.HalfMs = f.g.clock.Now() - f.began
-	}
-	out.Coverage.Total = len(f.shards)
-	out.Coverage.Missing = []samphirepass.Shard{}
-	for i := range f.shards {
-		s := &f.shards[i]
-		if s.answered {
-			out.Coverage.Answered++
-		} else {
-			out.Coverage.Missing = append(out.Coverage.Missing, samphirepass.Shard(i))
-		}
-		out.Items = append(out.Items, s.items...)
-	}
-	out.Shed = out.Shed && !out.Coverage.Whole()
-	out.Items = merge(out.Items, f.request.Spec.Merge)
-	return out
-}
-
-// merge applies the declared merge to the items of all shards, in the order of shards.
-func merge(items []samphirepass.Item, spec samphirepass.MergeSpec) []samphirepass.Item {
-	if items == nil {
-		items = []samphirepass.Item{}
-	}
-	if spec.Kind != samphirepass.MergeTop {
-		return items
-	}
-	slices.SortStableFunc(items, func(a, b samphirepass.Item) int { return cmp.Compare(b.Score, a.Score) })
-	return items[:min(len(items), spec.N)]
-}
--- a/leaf/gather.go
+++ b/leaf/gather.go
@@ -1,9 +1,15 @@
 package leaf
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
 	"sync"
 
+	"github.com/google/uuid"
+
 	"samphirepass"
 	"samphirepass/policy"
 )
@@ -52,12 +58,9 @@
 
 // Gatherer sends queries to one leaf of each shard and merges the answers; it is safe for concurrent use.
 type Gatherer struct {
+	*fleet
 	planner *Planner
-	pool    *Pool
-	sender  samphirepass.Sender
-	centre  samphirepass.DataCentre
 	policy  policy.Set
-	clock   samphirepass.Clock
 
 	mu       sync.Mutex
 	services map[samphirepass.Service]*decisions
@@ -66,7 +69,8 @@
 // NewGatherer returns a gatherer of an entry in the given data centre.
 func NewGatherer(planner *Planner, pool *Pool, sender samphirepass.Sender, centre samphirepass.DataCentre, set policy.Set, clock samphirepass.Clock) *Gatherer {
 	return &Gatherer{
-		planner: planner, pool: pool, sender: sender, centre: centre, policy: set, clock: clock,
+		fleet:   &fleet{registry: planner.registry, pool: pool, sender: sender, centre: centre, chooser: set.Chooser, clock: clock},
+		planner: planner, policy: set,
 		services: map[samphirepass.Service]*decisions{},
 	}
 }
@@ -115,12 +119,62 @@
 
 // gatherPlan asks the leaves of one plan; retired tells that leaves no longer hold the snapshot.
 func (g *Gatherer) gatherPlan(ctx context.Context, r Request, plan Plan, began samphirepass.Millis) (Gathered, bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	f := &fanOut{
-		g: g, ctx: ctx, request: r, plan: plan, began: began, decisions: g.decisions(r),
-		shards: make([]shardState, len(plan.Shards)), results: make(chan result, len(plan.Shards)*maxAttempts),
+	d := g.decisions(r)
+	budgets := make([]samphirepass.Budget, len(plan.Shards))
+	for i := range budgets {
+		budgets[i] = d.budget
 	}
+	c := course{
+		hedger: d.hedger, budgets: budgets, attempts: maxAttempts, decode: decodeItems, congested: r.Congested, progress: r.Progress,
+		attempt: func(shard int) samphirepass.Attempt {
+			return samphirepass.Attempt{
+				Request: samphirepass.RequestID(uuid.NewString()), Service: r.Service, Snapshot: plan.Snapshot,
+				Shard: samphirepass.Shard(shard), Body: r.Body, DeadlineMs: r.DeadlineMs - replyReserveMs - (g.clock.Now() - began),
+			}
+		},
+	}
+	f := newFanOut(ctx, g.fleet, c, plan.Shards, began)
 	f.run()
-	return f.gathered(), f.retired
+	return f.gathered(plan.Snapshot, r.Spec.Merge), f.retired
+}
+
+func decodeItems(r *result) error {
+	if err := json.Unmarshal(r.reply.Body, &r.items); err != nil {
+		return failed(samphirepass.FailureMismatch, fmt.Errorf("decode items of %s: %w", r.leaf, err))
+	}
+	return nil
+}
+
+func (f *fanOut) gathered(snapshot samphirepass.Snapshot, spec samphirepass.MergeSpec) Gathered {
+	out := Gathered{Snapshot: snapshot, Extra: f.extra, Attempts: f.attempts, Shed: f.shed}
+	out.HalfMs = f.halfMs
+	if out.HalfMs == 0 {
+		out.HalfMs = f.clock.Now() - f.began
+	}
+	out.Coverage.Total = len(f.shards)
+	out.Coverage.Missing = []samphirepass.Shard{}
+	for i := range f.shards {
+		s := &f.shards[i]
+		if s.answered {
+			out.Coverage.Answered++
+		} else {
+			out.Coverage.Missing = append(out.Coverage.Missing, samphirepass.Shard(i))
+		}
+		out.Items = append(out.Items, s.items...)
+	}
+	out.Shed = out.Shed && !out.Coverage.Whole()
+	out.Items = merge(out.Items, spec)
+	return out
+}
+
+// merge applies the declared merge to the items of all shards, in the order of shards.
+func merge(items []samphirepass.Item, spec samphirepass.MergeSpec) []samphirepass.Item {
+	if items == nil {
+		items = []samphirepass.Item{}
+	}
+	if spec.Kind != samphirepass.MergeTop {
+		return items
+	}
+	slices.SortStableFunc(items, func(a, b samphirepass.Item) int { return cmp.Compare(b.Score, a.Score) })
+	return items[:min(len(items), spec.N)]
 }
--- a/leaf/lane.go
+++ b/leaf/lane.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,6 +19,13 @@
 	dialTimeoutMs samphirepass.Millis = 1000
 	// reopenPauseMs lets a leaf see the end of a connection before the next one takes its place in the leaf's limit.
 	reopenPauseMs samphirepass.Millis = 10
+	// keepAliveMs and keepAliveProbes find connections whose other end is gone without a word.
+	keepAliveMs     samphirepass.Millis = 1000
+	keepAliveProbes                     = 3
+	// laneBufferBytes holds most answers of one shard; the library's default costs memory on hundreds of connections.
+	laneBufferBytes = 2048
+	// idleMarginMs is how much sooner than the leaf this side gives an idle connection up.
+	idleMarginMs samphirepass.Millis = 1000
 )
 
 // lane is the right to one connection of a leaf, with the connection if it is open.
@@ -26,14 +35,47 @@
 	cutMs samphirepass.Millis
 	// usedMs is when the last answer came, 0 before the first.
 	usedMs samphirepass.Millis
+	// idleMs is how long the leaf keeps the connection without a request, by its own word, 0 if it did not say.
+	idleMs samphirepass.Millis
+	// written counts the bytes that were handed to the connection.
+	written atomic.Int64
 }
 
 func newLane() *lane {
-	dialer := &net.Dialer{Timeout: dialTimeoutMs.Duration()}
-	return &lane{transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1,
-		DisableCompression: true, ForceAttemptHTTP2: false,
+	one := &lane{}
+	dialer := &net.Dialer{Timeout: dialTimeoutMs.Duration(), KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveMs.Duration(), Interval: keepAliveMs.Duration(), Count: keepAliveProbes,
 	}}
+	one.transport = &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, fmt.Errorf("dial leaf: %w", err)
+			}
+			return countedConn{Conn: c, written: &one.written}, nil
+		},
+		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true, ForceAttemptHTTP2: false,
+		ReadBufferSize: laneBufferBytes, WriteBufferSize: laneBufferBytes,
+	}
+	return one
+}
+
+// countedConn counts what is written, so that a request of which no byte left is known as such.
+type countedConn struct {
+	net.Conn
+	written *atomic.Int64
+}
+
+// Write counts what the connection took.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// worn reports whether the leaf may be about to close the connection for its idleness.
+func (l *lane) worn(now samphirepass.Millis) bool {
+	return l.idleMs > 0 && l.usedMs > 0 && now-l.usedMs > l.idleMs-idleMarginMs
 }
 
 // fresh makes the next request use a new connection.
@@ -80,6 +122,9 @@
 		one := l.idle[n-1]
 		l.idle = l.idle[:n-1]
 		l.mu.Unlock()
+		if one.worn(l.clock.Now()) {
+			one.fresh()
+		}
 		return one, l.settle(ctx, one)
 	}
 	if l.total < l.share {
--- /dev/null
+++ b/leaf/native.go
@@ -0,0 +1,103 @@
+package leaf
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"samphirepass"
+)
+
+// Native is the product's own protocol with leaves, which docs/protocol.md describes.
+type Native struct{}
+
+// Request returns the HTTP request of one attempt.
+func (Native) Request(ctx context.Context, to samphirepass.Announcement, a samphirepass.Attempt, left samphirepass.Millis) (*http.Request, error) {
+	path := PathQuery
+	if a.Key != "" {
+		path = PathRun
+	}
+	// The reader is wrapped so that the request has no GetBody, with which net/http could send it again.
+	body := io.NopCloser(bytes.NewReader(a.Body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.Address+path, body)
+	if err != nil {
+		return nil, fmt.Errorf("make request to %s: %w", to.Leaf, err)
+	}
+	req.ContentLength = int64(len(a.Body))
+	h := req.Header
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderRequest, string(a.Request))
+	h.Set(HeaderService, string(a.Service))
+	h.Set(HeaderSnapshot, strconv.FormatUint(uint64(a.Snapshot), 10))
+	h.Set(HeaderShard, strconv.FormatUint(uint64(a.Shard), 10))
+	h.Set(HeaderDeadline, strconv.FormatFloat(float64(left), 'f', 1, 64))
+	if a.Key != "" {
+		h.Set(HeaderKey, string(a.Key))
+		req.Close = true
+	}
+	return req, nil
+}
+
+// Reply returns the reply only if it is a whole answer to just this attempt.
+func (Native) Reply(resp *http.Response, body []byte, a samphirepass.Attempt) (samphirepass.Reply, error) {
+	h := resp.Header
+	var r samphirepass.Reply
+	if h.Get(HeaderRequest) != string(a.Request) {
+		return r, failed(samphirepass.FailureMismatch, eris.New("the answer is to another request"))
+	}
+	if resp.StatusCode != http.StatusOK {
+		return r, refusedBy(resp)
+	}
+	if h.Get(HeaderSnapshot) != strconv.FormatUint(uint64(a.Snapshot), 10) {
+		return r, failed(samphirepass.FailureMismatch, eris.New("the answer is from another snapshot"))
+	}
+	if h.Get(HeaderShard) != strconv.FormatUint(uint64(a.Shard), 10) {
+		return r, failed(samphirepass.FailureMismatch, eris.New("the answer is from another shard"))
+	}
+	if h.Get(HeaderDigest) != Digest(body) {
+		return r, failed(samphirepass.FailureMismatch, eris.New("the answer does not match its digest"))
+	}
+	partial, err := strconv.ParseBool(h.Get(HeaderPartial))
+	if err != nil {
+		return r, failed(samphirepass.FailureMismatch, fmt.Errorf("the answer does not say whether it is partial: %w", err))
+	}
+	r.Body, r.Partial = body, partial
+	// The figures are advice; a leaf may leave them out.
+	r.Load, _ = strconv.ParseFloat(h.Get(HeaderLoad), 64)
+	worked, _ := strconv.ParseFloat(h.Get(HeaderWorked), 64)
+	r.WorkedMs = samphirepass.Millis(worked)
+	return r, nil
+}
+
+// refusedBy tells what a status other than 200 means; only the leaf's own word counts as not run.
+func refusedBy(resp *http.Response) error {
+	err := eris.Errorf("leaf answered %s", resp.Status)
+	switch {
+	case resp.Header.Get(HeaderNotHeld) == "true":
+		return failed(samphirepass.FailureNotHeld, err)
+	case resp.Header.Get(HeaderNotRun) == "true":
+		return failed(samphirepass.FailureShed, err)
+	default:
+		return failed(samphirepass.FailureLost, err)
+	}
+}
+
+// Digest returns the checksum that an answer carries over its body.
+func Digest(body []byte) string {
+	return strconv.FormatUint(xxhash.Sum64(body), 16)
+}
+
+// Probe asks the leaf for its load, which any live connection answers; the figure itself may lag or mislead and is not used.
+func (Native) Probe(ctx context.Context, address string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathLoad, nil)
+	if err != nil {
+		return nil, fmt.Errorf("make load request: %w", err)
+	}
+	return req, nil
+}
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -1,6 +1,7 @@
 package leaf
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -25,12 +26,16 @@
 
 	mu       sync.Mutex
 	inFlight int
-	latency  samphirepass.Millis
-	network  samphirepass.Millis
-	load     float64
-	loadAt   samphirepass.Millis
-	failures int
-	failedAt samphirepass.Millis
+	// begun holds when each attempt under way began, the oldest first.
+	begun []samphirepass.Millis
+	// observedAt is when latency last changed.
+	observedAt samphirepass.Millis
+	latency    samphirepass.Millis
+	network    samphirepass.Millis
+	load       float64
+	loadAt     samphirepass.Millis
+	failures   int
+	failedAt   samphirepass.Millis
 }
 
 // Shares tells how many connections this entry may hold.
@@ -117,7 +122,13 @@
 	c := samphirepass.Candidate{
 		Leaf: k.Leaf, SameCentre: k.DataCentre == centre, InFlight: t.inFlight, Slots: k.Slots, LatencyMs: t.latency,
 		Load: t.load, LoadAgeMs: now - t.loadAt, WarmMs: now - k.FirstMs, Failures: t.failures,
-		SinceFailureMs: now - t.failedAt,
+		SinceFailureMs: now - t.failedAt, ColdMs: max(k.ColdMs-(now-k.HeardMs), 0),
+	}
+	if t.observedAt > 0 {
+		c.LatencyAgeMs = now - t.observedAt
+	}
+	if len(t.begun) > 0 {
+		c.OldestMs = now - t.begun[0]
 	}
 	t.mu.Unlock()
 	t.lanes.mu.Lock()
@@ -126,26 +137,37 @@
 	return c
 }
 
-func (t *target) start() {
+func (t *target) start(now samphirepass.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight++
+	t.begun = append(t.begun, now)
+}
+
+// finish takes out the attempt that began at the given time.
+func (t *target) finish(began samphirepass.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inFlight--
+	if i := slices.Index(t.begun, began); i >= 0 {
+		t.begun = slices.Delete(t.begun, i, i+1)
+	}
 }
 
 // succeed records an answer.
 func (t *target) succeed(now, took samphirepass.Millis, r samphirepass.Reply) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.inFlight--
 	t.failures = 0
 	t.load, t.loadAt = r.Load, now
-	t.observe(took)
+	t.observe(now, took)
 	if outside := took - r.WorkedMs; outside > 0 {
 		t.network += (outside - t.network) * networkWeight
 	}
 }
 
-func (t *target) observe(took samphirepass.Millis) {
+func (t *target) observe(now, took samphirepass.Millis) {
+	t.observedAt = now
 	if t.latency == 0 {
 		t.latency = took
 		return
@@ -157,7 +179,6 @@
 func (t *target) shed(now samphirepass.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.inFlight--
 	t.load, t.loadAt = max(t.load, shedLoad), now
 }
 
@@ -165,25 +186,16 @@
 func (t *target) fail(now samphirepass.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.inFlight--
 	t.failures++
 	t.failedAt = now
 }
 
-// cancel records an attempt that was cut off after the given time for reasons of this side.
-func (t *target) cancel(took samphirepass.Millis) {
-	t.slow(took)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.inFlight--
-}
-
 // slow records that an attempt without an answer took longer than the given time.
-func (t *target) slow(took samphirepass.Millis) {
+func (t *target) slow(now, took samphirepass.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if took > t.latency && t.latency > 0 {
-		t.observe(took)
+		t.observe(now, took)
 	}
 }
 
--- a/leaf/registry.go
+++ b/leaf/registry.go
@@ -24,7 +24,7 @@
 )
 
 func forgetAfter(s samphirepass.LeafState) samphirepass.Millis {
-	if s == samphirepass.LeafDraining {
+	if s.Leaving() {
 		return forgetDrainedMs
 	}
 	return forgetMs
@@ -39,8 +39,10 @@
 	FirstMs samphirepass.Millis
 	// Direct is set where the leaf itself announced to this process.
 	Direct bool
-	// content is a hash of all of the announcement but its sequence.
+	// content is a hash of all of the announcement but its sequence and its warm-up.
 	content uint64
+	// changed is the registry's version at which content last changed.
+	changed uint64
 }
 
 // Heard is an announcement as it is passed between entries.
@@ -61,15 +63,22 @@
 type Registry struct {
 	clock samphirepass.Clock
 
-	mu      sync.RWMutex
-	leaves  map[samphirepass.Leaf]Known
+	mu     sync.RWMutex
+	leaves map[samphirepass.Leaf]Known
+	// addresses names the leaf that started last at each address, where leaves say when they started.
+	addresses map[string]samphirepass.Leaf
+	// reports are the leaves that each source of announcements has not heard of for long.
+	reports map[string]map[samphirepass.Leaf]bool
 	version uint64
 	digest  uint64
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry(clock samphirepass.Clock) *Registry {
-	return &Registry{clock: clock, leaves: map[samphirepass.Leaf]Known{}}
+	return &Registry{
+		clock: clock, leaves: map[samphirepass.Leaf]Known{}, addresses: map[string]samphirepass.Leaf{},
+		reports: map[string]map[samphirepass.Leaf]bool{},
+	}
 }
 
 // content returns a hash of all of an announcement but its sequence.
@@ -79,7 +88,7 @@
 		_, _ = d.WriteString(s)
 		_, _ = d.Write([]byte{0})
 	}
-	numbers := []uint64{uint64(a.Incarnation), uint64(a.Slots), uint64(a.Connections)}
+	numbers := []uint64{uint64(a.Incarnation), uint64(a.Slots), uint64(a.Connections), uint64(a.StartedMs)}
 	for _, h := range a.Holdings {
 		numbers = append(numbers, uint64(h.Snapshot), uint64(h.Shards), uint64(h.Shard))
 	}
@@ -98,7 +107,7 @@
 	now := r.clock.Now()
 	have, ok := r.leaves[a.Leaf]
 	// Another entry may not have forgotten yet what this one has.
-	if age > forgetAfter(a.State) || (ok && !a.Newer(have.Announcement)) {
+	if age > forgetAfter(a.State) || (ok && !a.Newer(have.Announcement)) || !r.claimAddressLocked(a) {
 		return false, false
 	}
 	k := Known{Announcement: a, HeardMs: now - age, FirstMs: now, Direct: direct}
@@ -108,14 +117,55 @@
 	}
 	before, after := have.content, content(a)
 	k.content = after
-	r.leaves[a.Leaf] = k
+	k.changed = have.changed
 	if before != after {
 		r.digest ^= before ^ after
 		r.version++
+		k.changed = r.version
 	}
+	r.leaves[a.Leaf] = k
 	return true, before != after
 }
 
+// claimAddressLocked reports whether a is of the leaf that started last at its address; an earlier one there is gone.
+// A late announcement of a crashed leaf must not take the address from the leaf that has it now.
+func (r *Registry) claimAddressLocked(a samphirepass.Announcement) bool {
+	if a.StartedMs == 0 {
+		return true
+	}
+	other, ok := r.leaves[r.addresses[a.Address]]
+	if ok && other.Leaf != a.Leaf && other.Address == a.Address {
+		if other.StartedMs > a.StartedMs {
+			return false
+		}
+		r.leaveLocked(other.Leaf)
+	}
+	r.addresses[a.Address] = a.Leaf
+	return true
+}
+
+// Leave takes in that the present life of a leaf is over or soon will be, and reports whether that is news.
+func (r *Registry) Leave(name samphirepass.Leaf) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaveLocked(name)
+}
+
+func (r *Registry) leaveLocked(name samphirepass.Leaf) bool {
+	k, ok := r.leaves[name]
+	if !ok || k.State == samphirepass.LeafGone {
+		return false
+	}
+	k.State = samphirepass.LeafGone
+	before := k.content
+	k.content = content(k.Announcement)
+	r.digest ^= before ^ k.content
+	r.version++
+	k.changed = r.version
+	r.leaves[name] = k
+	return true
+}
+
 // Forget drops the leaves that have been silent for so long that nothing of theirs can still be under way.
 func (r *Registry) Forget() {
 	r.mu.Lock()
@@ -124,6 +174,9 @@
 	for name, k := range r.leaves {
 		if now-k.HeardMs > forgetAfter(k.State) {
 			delete(r.leaves, name)
+			if r.addresses[k.Address] == name {
+				delete(r.addresses, k.Address)
+			}
 			r.digest ^= k.content
 			r.version++
 		}
@@ -206,7 +259,7 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	now := r.leaves[k.Leaf]
-	return now.Incarnation != k.Incarnation || now.State == samphirepass.LeafDraining
+	return now.Incarnation != k.Incarnation || now.State.Leaving()
 }
 
 // Version returns a number that changes whenever an announcement changes more than its sequence.
--- a/leaf/run.go
+++ b/leaf/run.go
@@ -19,11 +19,7 @@
 	if len(leaves) == 0 {
 		return Known{}, samphirepass.Attempt{}, samphirepass.Refuse(samphirepass.CodeUnavailable, "no leaf holds shard %d of snapshot %d", shard, plan.Snapshot)
 	}
-	candidates := make([]samphirepass.Candidate, len(leaves))
-	for i, k := range leaves {
-		candidates[i] = g.pool.Candidate(k, g.centre)
-	}
-	k := leaves[g.policy.Chooser.Choose(candidates)]
+	k := leaves[g.choose(leaves)]
 	return k, samphirepass.Attempt{Service: service, Snapshot: plan.Snapshot, Shard: samphirepass.Shard(shard)}, nil
 }
 
--- a/leaf/sender_test.go
+++ b/leaf/sender_test.go
@@ -38,7 +38,7 @@
 func newSender(shares int) (*leaf.Sender, *leaf.Pool) {
 	clock := samphirepass.SystemClock{}
 	pool := leaf.NewPool(clock, fixedShares(shares))
-	return leaf.NewSender(pool, clock), pool
+	return leaf.NewSender(pool, leaf.Native{}, clock), pool
 }
 
 func kindOf(err error) samphirepass.FailureKind {
--- a/leaf/silence.go
+++ b/leaf/silence.go
@@ -45,7 +45,7 @@
 	}
 	probe, cancel := context.WithTimeout(ctx, siblingTimeoutMs.Duration())
 	defer cancel()
-	if err := ping(probe, t, one); err != nil {
+	if err := ping(probe, s.protocol, t, one); err != nil {
 		one.cutMs = s.clock.Now()
 		// An attempt that has ended in the meantime says nothing of the connection.
 		return ctx.Err() == nil
--- a/leaf/warm.go
+++ b/leaf/warm.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"samphirepass"
@@ -24,12 +23,13 @@
 type Warmer struct {
 	registry *Registry
 	pool     *Pool
+	protocol samphirepass.LeafProtocol
 	clock    samphirepass.Clock
 }
 
 // NewWarmer returns a warmer of the leaves in registry.
-func NewWarmer(registry *Registry, pool *Pool, clock samphirepass.Clock) *Warmer {
-	return &Warmer{registry: registry, pool: pool, clock: clock}
+func NewWarmer(registry *Registry, pool *Pool, protocol samphirepass.LeafProtocol, clock samphirepass.Clock) *Warmer {
+	return &Warmer{registry: registry, pool: pool, protocol: protocol, clock: clock}
 }
 
 // Serve runs until ctx ends.
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeoutMs.Duration())
 	defer cancel()
 	defer t.lanes.release(one)
-	err := ping(ctx, t, one)
+	err := ping(ctx, m.protocol, t, one)
 	now := m.clock.Now()
 	if err != nil {
 		one.cutMs = now
@@ -79,19 +79,22 @@
 	one.usedMs = now
 }
 
-// ping asks the leaf for its load, to see that the connection is alive; the figure may lag or mislead and is not used.
-func ping(ctx context.Context, t *target, one *lane) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.address+PathLoad, nil)
+// ping sends the protocol's probe to see that the connection is alive.
+func ping(ctx context.Context, p samphirepass.LeafProtocol, t *target, one *lane) error {
+	req, err := p.Probe(ctx, t.address)
 	if err != nil {
-		return fmt.Errorf("make load request: %w", err)
+		return fmt.Errorf("make probe: %w", err)
+	}
+	if req == nil {
+		return nil
 	}
 	resp, err := one.transport.RoundTrip(req)
 	if err != nil {
-		return fmt.Errorf("ask for load: %w", err)
+		return fmt.Errorf("send probe: %w", err)
 	}
 	defer resp.Body.Close()
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxLoadBytes)); err != nil {
-		return fmt.Errorf("read load: %w", err)
+		return fmt.Errorf("read probe's answer: %w", err)
 	}
 	return nil
 }
--- a/policy.go
+++ b/policy.go
@@ -20,6 +20,12 @@
 	Failures int
 	// SinceFailureMs is the time since the last failed attempt.
 	SinceFailureMs Millis
+	// OldestMs is the age of the oldest attempt of this entry that the leaf has not answered, 0 if there is none.
+	OldestMs Millis
+	// LatencyAgeMs is the time since LatencyMs last changed.
+	LatencyAgeMs Millis
+	// ColdMs is how much longer the leaf stays slow after its start, by its own word.
+	ColdMs Millis
 	// Open counts the connections to the leaf that stand now.
 	Open int
 	// Share is the number of connections that this entry may hold to the leaf.
