--- a/control/client.go
+++ b/control/client.go
@@ -42,11 +42,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, m := range members {
-		i := slices.IndexFunc(c.members, func(have quorum.Member) bool { return have.VM == m.VM })
+		i := slices.IndexFunc(c.members, func(have quorum.Member) bool { return have.VM == m.VM || have.Address == m.Address })
 		if i < 0 {
 			c.members = append(c.members, m)
 		} else {
-			c.members[i].Address = m.Address
+			c.members[i].VM, c.members[i].Address = m.VM, m.Address
 		}
 	}
 }
@@ -55,7 +55,7 @@
 func (c *Client) turn(from quorum.Member, leader samphirepass.VM) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.members[c.next%len(c.members)].VM != from.VM {
+	if c.members[c.next%len(c.members)].Address != from.Address {
 		return
 	}
 	for i, m := range c.members {
@@ -70,10 +70,15 @@
 // call repeats an idempotent request until a leader answers it or ctx ends.
 // If any try may have been carried out without an answer, the last error says so.
 func (c *Client) call(ctx context.Context, kind string, req, reply any) error {
+	return c.callEach(ctx, 0, kind, req, reply)
+}
+
+// callEach is like call and bounds each try, if tryMs is not 0.
+func (c *Client) callEach(ctx context.Context, tryMs samphirepass.Millis, kind string, req, reply any) error {
 	maybeDone := false
 	for {
 		to := c.target()
-		err := c.peers.Get(to.Address).Call(ctx, kind, req, reply)
+		err := c.try(ctx, tryMs, to.Address, kind, req, reply)
 		if err == nil {
 			return nil
 		}
@@ -97,6 +102,15 @@
 	}
 }
 
+func (c *Client) try(ctx context.Context, tryMs samphirepass.Millis, address, kind string, req, reply any) error {
+	if tryMs > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, tryMs.Duration())
+		defer cancel()
+	}
+	return c.peers.Get(address).Call(ctx, kind, req, reply)
+}
+
 func (c *Client) gaveUp(kind string, maybeDone bool, err error) error {
 	if maybeDone {
 		return samphirepass.RefuseUnknown("control did not answer %s in time: %v", kind, err)
--- a/control/handshake.go
+++ b/control/handshake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,8 @@
 	handshakeTimeoutMs samphirepass.Millis = 800
 	// helloFreshMs is how long a hello counts as a sign of life of a joining disk.
 	helloFreshMs samphirepass.Millis = 3000
+	// lostLeaderMs is the silence of the leader after which a member introduces itself again.
+	lostLeaderMs samphirepass.Millis = 1500
 )
 
 // handshake introduces the disk to the other members until it is safe to take part; it reports whether to bootstrap.
@@ -25,7 +28,7 @@
 		if old && led(replies) {
 			return false, errOldDisk
 		}
-		if !old && core.Initialised() && len(replies)+1 >= core.Members().Majority() {
+		if !old && core.Initialised() && n.majorityIn(core.Members(), replies) {
 			return false, nil
 		}
 		if !core.Initialised() {
@@ -42,8 +45,30 @@
 	}
 }
 
+// majorityIn reports whether this member and those that replied are a majority; the membership of one that leads goes before the own.
+func (n *Node) majorityIn(members quorum.Members, replies []helloReply) bool {
+	for _, r := range replies {
+		if r.Leads && len(r.Members) > 0 {
+			members = r.Members
+		}
+	}
+	count := 0
+	if _, ok := members.Find(n.o.VM); ok {
+		count++
+	}
+	for _, r := range replies {
+		if m, ok := members.Find(r.VM); ok && (m.Voter || !n.open()) {
+			count++
+		}
+	}
+	return count >= members.Majority()
+}
+
 // emptyStart decides whether an empty disk may start, and whether it founds a new log.
 func (n *Node) emptyStart(replies []helloReply) (start, bootstrap bool) {
+	if n.open() {
+		return n.openStart(replies)
+	}
 	for _, r := range replies {
 		if r.Initialised {
 			return true, false
@@ -82,16 +107,31 @@
 	return false
 }
 
-// others returns the other members that this node knows of.
+// others returns the other processes of control that this node knows of.
 func (n *Node) others(members quorum.Members) []quorum.Member {
+	var out []quorum.Member
+	add := func(m quorum.Member) {
+		known := slices.ContainsFunc(out, func(have quorum.Member) bool { return have.Address == m.Address })
+		if m.VM != n.o.VM && m.Address != n.o.Address && !known {
+			out = append(out, m)
+		}
+	}
 	if len(members) == 0 {
 		members = n.o.Members
 	}
-	var out []quorum.Member
 	for _, m := range members {
-		if m.VM != n.o.VM {
-			out = append(out, m)
-		}
+		add(m)
+	}
+	if !n.open() {
+		return out
+	}
+	for _, seed := range n.o.Seeds {
+		add(quorum.Member{Address: seed})
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, vm := range n.contacts {
+		add(quorum.Member{VM: vm, Address: address})
 	}
 	return out
 }
@@ -118,6 +158,8 @@
 			if err := n.o.Peers.Get(m.Address).Call(ctx, kindHello, req, &reply); err != nil {
 				return
 			}
+			reply.address = m.Address
+			n.learnContacts(append(slices.Clone(reply.Members), quorum.Member{VM: reply.VM, Address: m.Address}))
 			mu.Lock()
 			defer mu.Unlock()
 			out = append(out, reply)
@@ -134,7 +176,9 @@
 		if err != nil {
 			return
 		}
-		if m, _ := s.Members.Find(n.o.VM); !m.Voter || m.Disk != s.Disk {
+		// A member that was removed while it was away hears of no leader.
+		_, age := n.Leader()
+		if m, _ := s.Members.Find(n.o.VM); !m.Voter || m.Disk != s.Disk || (n.open() && age > lostLeaderMs) {
 			n.helloAll(ctx, s.Members)
 		}
 		select {
@@ -156,6 +200,7 @@
 		return reply, err
 	}
 	reply.Initialised = reply.Initialised || len(status.Members) > 0
+	reply.Members = status.Members
 	if status.Role == quorum.RoleLeader {
 		ctx, cancel := context.WithTimeout(ctx, (handshakeTimeoutMs / 2).Duration())
 		defer cancel()
--- a/control/lead.go
+++ b/control/lead.go
@@ -19,6 +19,9 @@
 		return
 	}
 	members := l.core.Members()
+	if l.node.open() && l.leadOpen(members) {
+		return
+	}
 	for _, m := range members {
 		next, ok := l.nextMember(m)
 		if !ok {
@@ -44,14 +47,19 @@
 		}
 		return quorum.Member{VM: m.VM, Address: g.Address, Disk: g.Disk}, true
 	}
-	caughtUp := m.Disk != "" && l.core.Match(m.VM)+maxLag >= l.core.Last() && l.core.Match(m.VM) >= l.core.Commit()
-	if m.Voter || !caughtUp || !l.core.Active(m.VM) {
+	if m.Voter || !l.caughtUp(m) {
 		return m, false
 	}
 	m.Voter = true
 	return m, true
 }
 
+// caughtUp reports whether a member that answers holds all that is committed and nearly all of the log.
+func (l *loop) caughtUp(m quorum.Member) bool {
+	match := l.core.Match(m.VM)
+	return m.Disk != "" && match+maxLag >= l.core.Last() && match >= l.core.Commit() && l.core.Active(m.VM)
+}
+
 func (n *Node) lastHelloOf(vm samphirepass.VM) (lastHello, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -60,7 +68,7 @@
 }
 
 func (l *loop) form(members quorum.Members) {
-	if l.node.ledger.Formed() || members.Voters() < len(members) {
+	if l.node.ledger.Formed() || members.Voters() < max(len(members), l.node.o.Voters) {
 		return
 	}
 	data, err := cbor.Marshal(ledger.Command{NowMs: l.node.o.Clock.Wall(), Form: &ledger.Form{Seats: l.node.o.Seats}})
--- a/control/loop.go
+++ b/control/loop.go
@@ -40,6 +40,8 @@
 	// confirmed are reads that wait for their index to be applied.
 	confirmed []confirmedRead
 	ticks     int
+	// silent counts the ticks for which each voter has given no sign of life to this leader.
+	silent map[samphirepass.VM]int
 	// writing is set while a snapshot is written, failed once one could not be.
 	writing bool
 	failed  error
@@ -90,7 +92,7 @@
 func (l *loop) tick() {
 	l.core.Tick()
 	l.ticks++
-	l.node.setMembers(l.core.Members())
+	l.node.observeCore(l.core)
 	if l.core.Role() == quorum.RoleLeader {
 		l.lead()
 	}
@@ -243,11 +245,14 @@
 // recordsPerEntry is the number of records that a snapshot may write for each entry that it takes out of the log.
 const recordsPerEntry = 4
 
+// snapshotBytes is the size of the log at which a snapshot is taken; with the snapshot before it, it stays far below a disk of 64 MB.
+const snapshotBytes = 8 << 20
+
 // compact starts a snapshot once the log has grown in proportion to the state, so that its cost for each entry stays the same.
 // It is encoded and written beside the loop, which must not stand still for longer than an election timeout.
 func (l *loop) compact() {
 	due := max(l.node.o.SnapshotEntries, l.node.ledger.Size()/recordsPerEntry)
-	if l.writing || l.core.LogLength() < due || l.applied <= l.snapshot.Index {
+	if l.writing || l.applied <= l.snapshot.Index || (l.core.LogLength() < due && l.core.LogBytes() < snapshotBytes) {
 		return
 	}
 	l.writing = true
--- a/control/messages.go
+++ b/control/messages.go
@@ -16,6 +16,9 @@
 	kindRun     = "run"
 	kindMembers = "members"
 	kindStatus  = "status"
+
+	kindPutRouting = "put-routing"
+	kindGetRouting = "get-routing"
 )
 
 // seen is the most advanced state that a member was ever heard to have from one disk.
@@ -39,6 +42,25 @@
 	Seen        seen
 	// Leads is set where the member leads a majority that does not count the disk that asks.
 	Leads bool
+	// Diskless is set where the process has no data folder and never becomes a member.
+	Diskless bool
+	// Members is the membership that the member knows.
+	Members quorum.Members
+
+	// address is where the reply came from.
+	address string
+}
+
+type putRoutingRequest struct {
+	Document samphirepass.RoutingDocument
+}
+
+type putRoutingReply struct{}
+
+type getRoutingRequest struct{}
+
+type getRoutingReply struct {
+	Document samphirepass.RoutingDocument
 }
 
 // SyncRequest asks for the configuration after Have; it also tells that Have is in force on the entry.
--- a/control/node.go
+++ b/control/node.go
@@ -27,6 +27,8 @@
 	DefaultSnapshotEntries = 1000
 	// inboxLength is the number of messages that may wait for the loop.
 	inboxLength = 4096
+	// unknownLeaderMs stands for the age of a leader that was never heard of.
+	unknownLeaderMs samphirepass.Millis = 1e9
 )
 
 // errOldDisk tells that the other members saw this disk in a later state than it is in.
@@ -38,6 +40,13 @@
 	Address string
 	// Members are the first members of a new log, this one included.
 	Members []quorum.Member
+	// Seeds are the peer addresses of some of the processes of control, where no list of members is given:
+	// members then join and leave by themselves.
+	Seeds []string
+	// Found lets the seeds found a new log; without it an empty disk waits for members that hold one.
+	Found bool
+	// Voters is the number of voters that a new log waits for, and that silent members are not removed below.
+	Voters int
 	// Seats is the number of entry VMs that a new log provides for.
 	Seats int
 	Files samphirepass.Files
@@ -68,6 +77,11 @@
 	changed   chan struct{}
 	// members is the latest membership that the loop has seen.
 	members quorum.Members
+	// contacts are the peer addresses of other processes of control that this one has learned of.
+	contacts map[string]samphirepass.VM
+	// leaderAge is the time since a leader was last heard of, leader the last known one.
+	leaderAge samphirepass.Millis
+	leader    quorum.Member
 
 	seatMu sync.Mutex
 }
@@ -90,6 +104,7 @@
 		o: o, ledger: ledger.New(), events: make(chan func(*loop), inboxLength), halted: make(chan struct{}),
 		ready: make(chan struct{}), seen: map[samphirepass.DiskID]seen{}, hellos: map[samphirepass.VM]lastHello{},
 		holders: map[samphirepass.VM]samphirepass.Revision{}, changed: make(chan struct{}),
+		contacts: map[string]samphirepass.VM{}, leaderAge: unknownLeaderMs,
 	}
 }
 
@@ -158,12 +173,43 @@
 	n.loadedLog = loadedLog
 }
 
-func (n *Node) setMembers(members quorum.Members) {
+// observeCore keeps what others ask of the core between two ticks.
+func (n *Node) observeCore(c *quorum.Core) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.members = members
+	n.members = c.Members()
+	n.leaderAge = unknownLeaderMs
+	n.leader = quorum.Member{}
+	if m, ok := n.members.Find(c.Leader()); ok {
+		n.leader = m
+		n.leaderAge = samphirepass.Millis(c.SinceLeader()) * TickMs
+	}
+}
+
+// Leader returns the member that leads and the time since it was last heard of; the age is huge if none is known.
+func (n *Node) Leader() (quorum.Member, samphirepass.Millis) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leader, n.leaderAge
+}
+
+// Members returns the membership that this member knows.
+func (n *Node) Members() quorum.Members {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members
 }
 
+// Changed returns a channel that is closed at the next change of the replicated state.
+func (n *Node) Changed() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changed
+}
+
+// Halted returns a channel that is closed once the member has ended.
+func (n *Node) Halted() <-chan struct{} { return n.halted }
+
 func (n *Node) newLoop(store *disk.Store, loaded disk.Loaded) *loop {
 	core := quorum.New(quorum.Options{
 		VM: n.o.VM, Disk: loaded.Disk, Rand: rand.New(rand.NewSource(time.Now().UnixNano())),
--- /dev/null
+++ b/control/open.go
@@ -0,0 +1,192 @@
+package control
+
+import (
+	"context"
+	"slices"
+
+	"samphirepass"
+	"samphirepass/ledger"
+	"samphirepass/peer"
+	"samphirepass/quorum"
+)
+
+const (
+	// removeSilentMs is how long a voter may be silent before it makes room; it is let in again once it is back.
+	removeSilentMs samphirepass.Millis = 4000
+	// routingTryMs bounds one try at one member, so that a silent member costs only a part of the caller's time.
+	routingTryMs samphirepass.Millis = 400
+)
+
+// open reports whether members join and leave by themselves.
+func (n *Node) open() bool { return len(n.o.Seeds) > 0 }
+
+// leadOpen takes in new members and removes silent ones, and reports whether it proposed a change.
+func (l *loop) leadOpen(members quorum.Members) bool {
+	l.countSilence(members)
+	if m, ok := l.removable(members); ok {
+		return l.proposeMembers(members.Without(m.VM), "removes silent member", m)
+	}
+	if m, ok := l.node.newcomer(members); ok {
+		return l.proposeMembers(members.With(m), "admits member", m)
+	}
+	return false
+}
+
+func (l *loop) proposeMembers(next quorum.Members, what string, m quorum.Member) bool {
+	if err := l.core.ProposeMembers(next); err != nil {
+		// An earlier change is not committed yet; the next look tries again.
+		return false
+	}
+	l.node.o.Log("Leader %s %s at %s with disk %s: %d members, %d voters.", what, m.VM, m.Address, m.Disk, len(next), next.Voters())
+	return true
+}
+
+func (l *loop) countSilence(members quorum.Members) {
+	if l.silent == nil {
+		l.silent = map[samphirepass.VM]int{}
+	}
+	for _, m := range members {
+		if m.VM == l.node.o.VM || l.core.Active(m.VM) {
+			delete(l.silent, m.VM)
+			continue
+		}
+		l.silent[m.VM] += leadTicks
+	}
+	for vm := range l.silent {
+		if _, ok := members.Find(vm); !ok {
+			delete(l.silent, vm)
+		}
+	}
+}
+
+// removable returns a member that has been silent for long, if enough voters are left without it
+// or a learner stands ready to take its place.
+func (l *loop) removable(members quorum.Members) (quorum.Member, bool) {
+	for _, m := range members {
+		if samphirepass.Millis(l.silent[m.VM])*TickMs < removeSilentMs {
+			continue
+		}
+		if !m.Voter || members.Voters() > l.node.o.Voters || l.learnerReady(members) {
+			return m, true
+		}
+	}
+	return quorum.Member{}, false
+}
+
+// learnerReady reports whether a member without a vote has caught up.
+func (l *loop) learnerReady(members quorum.Members) bool {
+	return slices.ContainsFunc(members, func(m quorum.Member) bool { return !m.Voter && l.caughtUp(m) })
+}
+
+// newcomer returns a process that lately introduced its disk and is no member.
+func (n *Node) newcomer(members quorum.Members) (quorum.Member, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for vm, g := range n.hellos {
+		if _, ok := members.Find(vm); ok || n.o.Clock.Now()-g.at > helloFreshMs {
+			continue
+		}
+		return quorum.Member{VM: vm, Address: g.Address, Disk: g.Disk}, true
+	}
+	return quorum.Member{}, false
+}
+
+// learnContacts keeps the addresses of other processes of control.
+func (n *Node) learnContacts(members quorum.Members) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range members {
+		if m.Address != "" && m.Address != n.o.Address {
+			n.contacts[m.Address] = m.VM
+		}
+	}
+}
+
+// openStart decides whether an empty disk may start where only seeds are known, and whether it founds a new log.
+func (n *Node) openStart(replies []helloReply) (start, bootstrap bool) {
+	for _, r := range replies {
+		if r.Initialised {
+			return true, false
+		}
+	}
+	if !n.o.Found {
+		return false, false
+	}
+	// A new log is founded only if every seed is there and empty: an absent one may hold the old log.
+	founder := ""
+	for _, seed := range n.o.Seeds {
+		i := slices.IndexFunc(replies, func(r helloReply) bool { return r.address == seed })
+		if seed != n.o.Address && i < 0 {
+			return false, false
+		}
+		if seed != n.o.Address && replies[i].Diskless {
+			continue
+		}
+		if founder == "" || seed < founder {
+			founder = seed
+		}
+	}
+	return founder == n.o.Address, founder == n.o.Address
+}
+
+// putRouting commits a routing document.
+func (n *Node) putRouting(ctx context.Context, req putRoutingRequest) (putRoutingReply, error) {
+	_, result, err := n.Propose(ctx, ledger.Command{Routing: &req.Document})
+	if err != nil {
+		return putRoutingReply{}, err
+	}
+	if result.Refused != "" {
+		return putRoutingReply{}, samphirepass.Refuse(result.Refused, "the log waits for its first members")
+	}
+	return putRoutingReply{}, nil
+}
+
+// getRouting returns the document that was the newest when the request came in.
+func (n *Node) getRouting(ctx context.Context, _ getRoutingRequest) (getRoutingReply, error) {
+	if err := n.Confirm(ctx); err != nil {
+		return getRoutingReply{}, err
+	}
+	return getRoutingReply{Document: n.ledger.Routing()}, nil
+}
+
+// AppliedRouting returns the document that this member has applied, which may be older than the newest.
+func (n *Node) AppliedRouting() samphirepass.RoutingDocument { return n.ledger.Routing() }
+
+// RegisterDiskless adds what a process of control without a data folder answers: it is never a member.
+func RegisterDiskless(h *peer.Handlers, vm samphirepass.VM) {
+	peer.HandleCall(h, kindHello, func(context.Context, helloRequest) (helloReply, error) {
+		return helloReply{VM: vm, Diskless: true}, nil
+	})
+	notLeader := samphirepass.Refuse(samphirepass.CodeNotLeader, "process %s has no disk and is no member", vm)
+	peer.HandleCall(h, kindPutRouting, func(context.Context, putRoutingRequest) (putRoutingReply, error) { return putRoutingReply{}, notLeader })
+	peer.HandleCall(h, kindGetRouting, func(context.Context, getRoutingRequest) (getRoutingReply, error) { return getRoutingReply{}, notLeader })
+}
+
+// Update replaces the members that the client asks, and turns to the leader if one is known.
+func (c *Client) Update(members quorum.Members, leader samphirepass.VM) {
+	if len(members) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	from := c.members[c.next%len(c.members)].Address
+	c.members = slices.Clone(members)
+	c.next = 0
+	for i, m := range c.members {
+		if (leader != "" && m.VM == leader) || (leader == "" && m.Address == from) {
+			c.next = i
+		}
+	}
+}
+
+// PutRouting returns once the document, or one with a higher version, is durable on a majority.
+func (c *Client) PutRouting(ctx context.Context, d samphirepass.RoutingDocument) error {
+	return c.callEach(ctx, routingTryMs, kindPutRouting, putRoutingRequest{Document: d}, &putRoutingReply{})
+}
+
+// Routing returns the newest document, confirmed by a majority.
+func (c *Client) Routing(ctx context.Context) (samphirepass.RoutingDocument, error) {
+	var reply getRoutingReply
+	err := c.callEach(ctx, routingTryMs, kindGetRouting, getRoutingRequest{}, &reply)
+	return reply.Document, err
+}
--- a/control/serve.go
+++ b/control/serve.go
@@ -26,6 +26,8 @@
 	peer.HandleCall(h, kindRead, n.read)
 	peer.HandleCall(h, kindRun, n.run)
 	peer.HandleCall(h, kindMembers, n.changeMembers)
+	peer.HandleCall(h, kindPutRouting, n.putRouting)
+	peer.HandleCall(h, kindGetRouting, n.getRouting)
 	peer.HandleCall(h, kindStatus, func(ctx context.Context, _ statusRequest) (Status, error) { return n.Status(ctx) })
 }
 
--- /dev/null
+++ b/directory/follower.go
@@ -0,0 +1,326 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"samphirepass"
+	"samphirepass/leaf"
+	"samphirepass/peer"
+)
+
+const (
+	// pollWaitMs is how long a source is asked to hold a question without news.
+	pollWaitMs samphirepass.Millis = 1000
+	// pollSlackMs is the further time after which a source counts as lost.
+	pollSlackMs samphirepass.Millis = 500
+	// sources is the number of sources that an entry follows at a time: one alone may be cut off without knowing.
+	sources = 2
+	// staleLeaderMs is the age of the leader's last sign from which a source may have missed changes.
+	staleLeaderMs samphirepass.Millis = 1500
+	// avoidMs is how long a source that failed is passed over.
+	avoidMs samphirepass.Millis = 2000
+	// pauseMs keeps failed questions apart.
+	pauseMs samphirepass.Millis = 100
+	// contactMs is how long a contact is kept that no source names any more.
+	contactMs samphirepass.Millis = 30_000
+	// touchMs is the time without a current answer after which the follower counts as out of touch.
+	touchMs samphirepass.Millis = 3000
+)
+
+// FollowerOptions set up a Follower.
+type FollowerOptions struct {
+	VM         samphirepass.VM
+	DataCentre samphirepass.DataCentre
+	// Control is the own peer address of a process of control, which follows all others and counts silence itself.
+	Control string
+	// Seeds are the peer addresses of the first sources.
+	Seeds    []string
+	Registry *leaf.Registry
+	Peers    *peer.Pool
+	Clock    samphirepass.Clock
+	// Routing is given each newer routing document, in order, by one goroutine at a time.
+	Routing func(samphirepass.RoutingDocument)
+	// Entries is told which entries follow a source; it may be nil.
+	Entries func([]samphirepass.VM)
+	// Log takes one line for each source that is lost or regained.
+	Log func(format string, args ...any)
+}
+
+type contactState struct {
+	centre   samphirepass.DataCentre
+	listed   samphirepass.Millis
+	failed   samphirepass.Millis
+	stale    bool
+	followed bool
+	seed     bool
+	// epoch and leaves are what the last reply brought.
+	epoch  string
+	leaves uint64
+}
+
+// Follower keeps a process up to date from its sources; it is safe for concurrent use.
+type Follower struct {
+	o FollowerOptions
+
+	mu       sync.Mutex
+	contacts map[string]*contactState
+	routing  samphirepass.RoutingVersion
+	// currentAt is when a source last answered that itself hears of a leader.
+	currentAt samphirepass.Millis
+	touched   bool
+	entries   int
+
+	routingMu sync.Mutex
+}
+
+// NewFollower returns a follower that has heard nothing.
+func NewFollower(o FollowerOptions) *Follower {
+	f := &Follower{o: o, contacts: map[string]*contactState{}}
+	for _, seed := range o.Seeds {
+		if seed != o.Control {
+			f.contacts[seed] = &contactState{seed: true, failed: -avoidMs}
+		}
+	}
+	return f
+}
+
+// Serve follows sources until ctx ends.
+func (f *Follower) Serve(ctx context.Context) error {
+	var wg sync.WaitGroup
+	if f.o.Control == "" {
+		for slot := range sources {
+			wg.Go(func() { f.followOne(ctx, slot == 0) })
+		}
+	} else {
+		wg.Go(func() { f.followAll(ctx) })
+	}
+	wg.Wait()
+	return fmt.Errorf("follow directory: %w", ctx.Err())
+}
+
+// InTouch reports whether a source answered lately that itself hears of a leader.
+func (f *Follower) InTouch() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.touched && f.o.Clock.Now()-f.currentAt < touchMs
+}
+
+// Entries returns the number of entries that the sources know of, 0 if none has said.
+func (f *Follower) Entries() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries
+}
+
+// followOne keeps following one source after the other, the nearest first.
+func (f *Follower) followOne(ctx context.Context, near bool) {
+	for ctx.Err() == nil {
+		address := f.pick(near)
+		if address == "" {
+			f.pause(ctx)
+			continue
+		}
+		f.follow(ctx, address)
+		f.release(address)
+	}
+}
+
+// followAll follows every contact at once.
+func (f *Follower) followAll(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for ctx.Err() == nil {
+		for address := f.pick(true); address != ""; address = f.pick(true) {
+			wg.Go(func() {
+				f.follow(ctx, address)
+				f.release(address)
+			})
+		}
+		f.pause(ctx)
+	}
+}
+
+func (f *Follower) pause(ctx context.Context) {
+	select {
+	case <-time.After(pauseMs.Duration()):
+	case <-ctx.Done():
+	}
+}
+
+// pick takes the best contact that is not followed yet, or none.
+func (f *Follower) pick(near bool) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.o.Clock.Now()
+	best, least := "", uint64(0)
+	for address, c := range f.contacts {
+		if !c.seed && now-c.listed > contactMs && !c.followed {
+			delete(f.contacts, address)
+			continue
+		}
+		if c.followed || address == f.o.Control {
+			continue
+		}
+		if f.o.Control != "" && now-c.failed < avoidMs {
+			continue
+		}
+		rank := xxhash.Sum64String(string(f.o.VM)+address) >> 8
+		if near && c.centre != f.o.DataCentre {
+			rank |= 1 << 60
+		}
+		if c.stale {
+			rank |= 1 << 61
+		}
+		if now-c.failed < avoidMs {
+			rank |= 1 << 62
+		}
+		if best == "" || rank < least {
+			best, least = address, rank
+		}
+	}
+	if best != "" {
+		f.contacts[best].followed = true
+	}
+	return best
+}
+
+func (f *Follower) release(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c := f.contacts[address]; c != nil {
+		c.followed = false
+		c.failed = f.o.Clock.Now()
+	}
+	f.o.Registry.Report(address, nil, false)
+}
+
+// follow asks one source until it fails, or another would be more current.
+func (f *Follower) follow(ctx context.Context, address string) {
+	answered := false
+	for ctx.Err() == nil {
+		reply, err := f.ask(ctx, address)
+		if err != nil {
+			if answered {
+				f.o.Log("Source %s is lost: %v.", address, err)
+			} else {
+				f.pause(ctx)
+			}
+			return
+		}
+		if !answered {
+			f.o.Log("Source %s answers; its leader was heard %.0f ms ago.", address, reply.LeaderAgeMs)
+		}
+		answered = true
+		if f.take(address, reply) {
+			f.o.Log("Source %s has heard of no leader for %.0f ms; another is followed.", address, reply.LeaderAgeMs)
+			return
+		}
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, address string) (followReply, error) {
+	f.mu.Lock()
+	c := f.contacts[address]
+	req := followRequest{
+		VM: f.o.VM, Control: f.o.Control, DataCentre: f.o.DataCentre,
+		Epoch: c.epoch, Leaves: c.leaves, Routing: f.routing, WaitMs: pollWaitMs,
+	}
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, (pollWaitMs + pollSlackMs).Duration())
+	defer cancel()
+	var reply followReply
+	if err := f.o.Peers.Get(address).Call(ctx, kindFollow, req, &reply); err != nil {
+		return reply, fmt.Errorf("follow %s: %w", address, err)
+	}
+	return reply, nil
+}
+
+// take applies a reply and reports whether the source is stale while another may not be.
+func (f *Follower) take(address string, reply followReply) bool {
+	for _, h := range reply.Leaves {
+		f.o.Registry.Hear(h.Announcement, h.AgeMs, false)
+	}
+	for _, a := range reply.Alive {
+		f.o.Registry.Confirm(a)
+	}
+	if f.o.Control == "" {
+		f.o.Registry.Report(address, reply.Silent, true)
+	}
+	f.takeRouting(reply.Routing)
+	if f.o.Entries != nil {
+		f.o.Entries(reply.Entries)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.o.Clock.Now()
+	c := f.contacts[address]
+	c.epoch, c.leaves, c.centre, c.listed = reply.Epoch, reply.LeavesVersion, reply.DataCentre, now
+	c.stale = reply.LeaderAgeMs > staleLeaderMs
+	f.entries = max(reply.EntryCount, 1)
+	if !c.stale {
+		f.currentAt, f.touched = now, true
+	}
+	for _, one := range reply.Contacts {
+		f.learnLocked(one, now)
+	}
+	return c.stale && f.o.Control == "" && f.otherLocked()
+}
+
+func (f *Follower) learnLocked(one Contact, now samphirepass.Millis) {
+	if one.Address == "" || one.Address == f.o.Control {
+		return
+	}
+	c := f.contacts[one.Address]
+	if c == nil {
+		c = &contactState{failed: now - avoidMs}
+		f.contacts[one.Address] = c
+	}
+	c.listed = now
+	if one.DataCentre != "" {
+		c.centre = one.DataCentre
+	}
+}
+
+// otherLocked reports whether a contact is free that is neither stale nor failing.
+func (f *Follower) otherLocked() bool {
+	now := f.o.Clock.Now()
+	for _, c := range f.contacts {
+		if !c.followed && !c.stale && now-c.failed >= avoidMs {
+			return true
+		}
+	}
+	return false
+}
+
+// takeRouting passes a newer document on; an older one never replaces it.
+func (f *Follower) takeRouting(d samphirepass.RoutingDocument) {
+	f.routingMu.Lock()
+	defer f.routingMu.Unlock()
+	f.mu.Lock()
+	newer := d.Version > f.routing
+	if newer {
+		f.routing = d.Version
+	}
+	f.mu.Unlock()
+	if newer && f.o.Routing != nil {
+		f.o.Routing(d)
+	}
+}
+
+// Addresses returns the known peer addresses of processes of control, in order.
+func (f *Follower) Addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for address := range f.contacts {
+		out = append(out, address)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/directory/messages.go
@@ -0,0 +1,48 @@
+package directory
+
+import (
+	"samphirepass"
+	"samphirepass/leaf"
+)
+
+const kindFollow = "follow"
+
+// Contact is one process of control as others reach it.
+type Contact struct {
+	Address    string
+	DataCentre samphirepass.DataCentre
+}
+
+// followRequest asks for what changed since the follower's last reply from this source.
+type followRequest struct {
+	VM samphirepass.VM
+	// Control is the follower's own peer address if it is a process of control itself.
+	Control    string
+	DataCentre samphirepass.DataCentre
+	// Epoch names the life of the source that Leaves is a version of.
+	Epoch   string
+	Leaves  uint64
+	Routing samphirepass.RoutingVersion
+	WaitMs  samphirepass.Millis
+}
+
+type followReply struct {
+	Epoch      string
+	DataCentre samphirepass.DataCentre
+	// Leaves changed since the request's version, or are all that is known if the epoch is another.
+	Leaves        []leaf.Heard
+	LeavesVersion uint64
+	// Alive are signs of life of leaves that announced to the source itself, for followers that count silence themselves.
+	Alive []leaf.Alive
+	// Silent are the leaves that the source has not heard of for long.
+	Silent []samphirepass.Leaf
+	// Routing is the document that the source has applied, if it is newer than the follower's.
+	Routing samphirepass.RoutingDocument
+	// LeaderAgeMs is the time since the source heard of a leader, without whom it may have missed changes.
+	LeaderAgeMs samphirepass.Millis
+	// Contacts are the processes of control that the source knows.
+	Contacts []Contact
+	// Entries are the entries that follow the source itself, EntryCount all that it knows of.
+	Entries    []samphirepass.VM
+	EntryCount int
+}
--- /dev/null
+++ b/directory/source.go
@@ -0,0 +1,207 @@
+package directory
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"samphirepass"
+	"samphirepass/leaf"
+	"samphirepass/peer"
+)
+
+const (
+	// maxWaitMs bounds how long a source holds a question.
+	maxWaitMs samphirepass.Millis = 2000
+	// followerFreshMs is how long a follower counts after its last question.
+	followerFreshMs samphirepass.Millis = 6000
+	// aliveEveryMs is the time between two lists of signs of life for one follower.
+	aliveEveryMs samphirepass.Millis = 1000
+)
+
+// State is what a process of control knows of the replicated state; it is safe for concurrent use.
+type State interface {
+	// AppliedRouting returns the routing document that this process has applied.
+	AppliedRouting() samphirepass.RoutingDocument
+	// LeaderAge returns the time since a leader was last heard of.
+	LeaderAge() samphirepass.Millis
+	// Contacts returns the peer addresses of the members.
+	Contacts() []string
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+type follower struct {
+	contact Contact
+	seen    samphirepass.Millis
+	// aliveAt is when signs of life were last sent.
+	aliveAt samphirepass.Millis
+}
+
+// SourceOptions set up a Source.
+type SourceOptions struct {
+	Self     Contact
+	Registry *leaf.Registry
+	State    State
+	Clock    samphirepass.Clock
+}
+
+// Source answers followers; it is safe for concurrent use.
+type Source struct {
+	o     SourceOptions
+	epoch string
+
+	mu        sync.Mutex
+	followers map[samphirepass.VM]follower
+	// entries are those that other sources told of, with the time.
+	entries map[samphirepass.VM]samphirepass.Millis
+	centres map[string]samphirepass.DataCentre
+}
+
+// NewSource returns a source without followers.
+func NewSource(o SourceOptions) *Source {
+	return &Source{
+		o: o, epoch: uuid.NewString(), followers: map[samphirepass.VM]follower{},
+		entries: map[samphirepass.VM]samphirepass.Millis{}, centres: map[string]samphirepass.DataCentre{},
+	}
+}
+
+// Register adds the source's request to h.
+func (s *Source) Register(h *peer.Handlers) {
+	peer.HandleCall(h, kindFollow, s.follow)
+}
+
+// follow answers once there is news, or the follower's wait is over.
+func (s *Source) follow(ctx context.Context, req followRequest) (followReply, error) {
+	timeout := time.NewTimer(min(max(req.WaitMs, 0), maxWaitMs).Duration())
+	defer timeout.Stop()
+	s.note(req)
+	for {
+		changed := s.o.State.Changed()
+		known := req.Leaves
+		if req.Epoch != s.epoch {
+			known = 0
+		}
+		leaves := s.o.Registry.Changed(known)
+		reply, news := s.reply(req, known)
+		if news {
+			return s.withAlive(req, reply), nil
+		}
+		select {
+		case <-changed:
+		case <-leaves:
+		case <-timeout.C:
+			return s.withAlive(req, reply), nil
+		case <-ctx.Done():
+			return s.withAlive(req, reply), nil
+		}
+	}
+}
+
+func (s *Source) note(req followRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.followers[req.VM]
+	f.contact = Contact{Address: req.Control, DataCentre: req.DataCentre}
+	f.seen = s.o.Clock.Now()
+	s.followers[req.VM] = f
+	if req.Control != "" {
+		s.centres[req.Control] = req.DataCentre
+	}
+}
+
+func (s *Source) reply(req followRequest, known uint64) (followReply, bool) {
+	reply := followReply{
+		Epoch: s.epoch, DataCentre: s.o.Self.DataCentre, Silent: s.o.Registry.Silent(),
+		LeaderAgeMs: s.o.State.LeaderAge(), Contacts: s.contacts(),
+	}
+	reply.Leaves, reply.LeavesVersion = s.o.Registry.ChangesSince(known)
+	if d := s.o.State.AppliedRouting(); d.Version > req.Routing {
+		reply.Routing = d
+	}
+	reply.Entries, reply.EntryCount = s.countEntries()
+	return reply, req.Epoch != s.epoch || len(reply.Leaves) > 0 || reply.Routing.Version > 0
+}
+
+// withAlive adds signs of life for followers that count silence themselves.
+func (s *Source) withAlive(req followRequest, reply followReply) followReply {
+	if req.Control == "" {
+		reply.Entries = nil
+		return reply
+	}
+	now := s.o.Clock.Now()
+	s.mu.Lock()
+	f := s.followers[req.VM]
+	due := now-f.aliveAt >= aliveEveryMs
+	if due {
+		f.aliveAt = now
+		s.followers[req.VM] = f
+	}
+	s.mu.Unlock()
+	if due {
+		reply.Alive = s.o.Registry.Alive()
+	}
+	return reply
+}
+
+// contacts returns this process, the members and the followers that are processes of control.
+func (s *Source) contacts() []Contact {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := []Contact{s.o.Self}
+	add := func(c Contact) {
+		if !slices.ContainsFunc(out, func(have Contact) bool { return have.Address == c.Address }) {
+			out = append(out, c)
+		}
+	}
+	now := s.o.Clock.Now()
+	for _, f := range s.followers {
+		if f.contact.Address != "" && now-f.seen < followerFreshMs {
+			add(f.contact)
+		}
+	}
+	for _, address := range s.o.State.Contacts() {
+		add(Contact{Address: address, DataCentre: s.centres[address]})
+	}
+	return out
+}
+
+// countEntries returns the entries that follow this source, and how many there are with those that other sources told of.
+func (s *Source) countEntries() ([]samphirepass.VM, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.o.Clock.Now()
+	all := map[samphirepass.VM]bool{}
+	var own []samphirepass.VM
+	for vm, f := range s.followers {
+		if now-f.seen >= followerFreshMs {
+			delete(s.followers, vm)
+			continue
+		}
+		if f.contact.Address == "" {
+			own = append(own, vm)
+			all[vm] = true
+		}
+	}
+	for vm, at := range s.entries {
+		if now-at >= followerFreshMs {
+			delete(s.entries, vm)
+			continue
+		}
+		all[vm] = true
+	}
+	return own, len(all)
+}
+
+// TellEntries takes in which entries follow another source.
+func (s *Source) TellEntries(entries []samphirepass.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.o.Clock.Now()
+	for _, vm := range entries {
+		s.entries[vm] = now
+	}
+}
--- /dev/null
+++ b/gateway/dispatch.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+
+	"samphirepass"
+	"samphirepass/leaf"
+	"samphirepass/logs"
+	"samphirepass/metrics"
+)
+
+const (
+	// clientPathMs is kept from a route's target for the way between client and entry, there and back, and for a new connection.
+	clientPathMs samphirepass.Millis = 10
+	// patienceFactor times a route's target is how long an answer that is late already waits to become whole.
+	patienceFactor = 1
+	// retryNoRoutingMs is when a client may come back to an entry that has just started.
+	retryNoRoutingMs samphirepass.Millis = 300
+	// retryNoLeafMs is when a client may come back while too few leaves are known; discovery takes about as long.
+	retryNoLeafMs samphirepass.Millis = 300
+	// retryRefusedMs is when a client may come back after all leaves refused its request.
+	retryRefusedMs samphirepass.Millis = 100
+	// unlimitedMs stands for the deadline of a client that named none.
+	unlimitedMs samphirepass.Millis = 1e9
+)
+
+// Deliverer sends a request to leaves and is safe for concurrent use.
+type Deliverer interface {
+	Deliver(ctx context.Context, d leaf.Delivery) leaf.Delivered
+	Covered(shards []samphirepass.Service) int
+}
+
+// Options set up a Dispatcher.
+type Options struct {
+	Deliverer Deliverer
+	Metrics   *metrics.Metrics
+	Clock     samphirepass.Clock
+	Log       logs.Logger
+}
+
+// Dispatcher answers requests by the routes in force; it implements samphirepass.Dispatcher.
+type Dispatcher struct {
+	o      Options
+	router atomic.Pointer[Router]
+}
+
+// NewDispatcher returns a dispatcher without routes.
+func NewDispatcher(o Options) *Dispatcher {
+	return &Dispatcher{o: o}
+}
+
+// Use puts a routing document in force, unless one with the same or a higher version is, and reports whether it did.
+func (d *Dispatcher) Use(routing samphirepass.Routing) bool {
+	next := NewRouter(routing)
+	for {
+		have := d.router.Load()
+		if have != nil && have.routing.Version >= routing.Version {
+			return false
+		}
+		if d.router.CompareAndSwap(have, next) {
+			return true
+		}
+	}
+}
+
+// Routing returns the document in force and whether there is one.
+func (d *Dispatcher) Routing() (samphirepass.Routing, bool) {
+	r := d.router.Load()
+	if r == nil {
+		return samphirepass.Routing{}, false
+	}
+	return r.routing, true
+}
+
+// ClientLimits returns what clients may send, zero before there are routes.
+func (d *Dispatcher) ClientLimits() samphirepass.ClientLimits {
+	routing, _ := d.Routing()
+	return routing.Clients
+}
+
+// Dispatch answers one request.
+func (d *Dispatcher) Dispatch(ctx context.Context, r samphirepass.ClientRequest) (samphirepass.ClientAnswer, error) {
+	began := d.o.Clock.Now()
+	router := d.router.Load()
+	if router == nil {
+		return d.refuse(r, 0, later(retryNoRoutingMs, samphirepass.Refuse(samphirepass.CodeUnavailable, "no routing is known yet")))
+	}
+	route, ok := router.Find(r.Host, r.Path)
+	if !ok {
+		return d.refuse(r, router.routing.Version, samphirepass.Refuse(samphirepass.CodeNotFound, "no route for this host and path"))
+	}
+	shards := router.Shards(route)
+	one := delivery(r, route, shards)
+	var out leaf.Delivered
+	answer, refusal := d.precheck(one)
+	if refusal == nil {
+		deadline, cancel := context.WithTimeout(ctx, one.Request.DeadlineMs.Duration())
+		defer cancel()
+		out = d.o.Deliverer.Deliver(deadline, one)
+		answer, refusal = conclude(deadline, one, out)
+	}
+	d.record(router, one, out, refusal, d.o.Clock.Now()-began)
+	if refusal != nil {
+		return answer, refusal
+	}
+	return answer, nil
+}
+
+// delivery bounds a request by its route and says when its answer is due.
+func delivery(r samphirepass.ClientRequest, route samphirepass.Route, shards []samphirepass.Service) leaf.Delivery {
+	if r.DeadlineMs <= 0 {
+		r.DeadlineMs = unlimitedMs
+	}
+	r.DeadlineMs = min(r.DeadlineMs, route.TimeoutMs)
+	one := leaf.Delivery{Request: r, Route: route, Shards: shards}
+	if route.Gathers() && route.TargetMs > 0 {
+		one.SettleMs = max(route.TargetMs-clientPathMs, route.TargetMs/2)
+		one.PatienceMs = patienceFactor * route.TargetMs
+	}
+	return one
+}
+
+// precheck refuses at once what cannot be served.
+func (d *Dispatcher) precheck(one leaf.Delivery) (samphirepass.ClientAnswer, *samphirepass.Refusal) {
+	covered := d.o.Deliverer.Covered(one.Shards)
+	if covered >= one.Least() {
+		return samphirepass.ClientAnswer{}, nil
+	}
+	refusal := samphirepass.Refuse(samphirepass.CodeUnavailable, "leaves are known for %d of %d shards", covered, len(one.Shards))
+	return samphirepass.ClientAnswer{}, later(retryNoLeafMs, refusal)
+}
+
+func later(after samphirepass.Millis, r *samphirepass.Refusal) *samphirepass.Refusal {
+	r.RetryAfterMs = after
+	return r
+}
+
+// conclude turns what the leaves gave into an answer or a refusal.
+func conclude(ctx context.Context, one leaf.Delivery, out leaf.Delivered) (samphirepass.ClientAnswer, *samphirepass.Refusal) {
+	if out.Answered > 0 && out.Answered >= out.Least {
+		if !one.Route.Gathers() {
+			return samphirepass.ClientAnswer{Leaf: out.Replies[0]}, nil
+		}
+		return samphirepass.ClientAnswer{Gathered: gathered(one, out)}, nil
+	}
+	switch {
+	case !out.MaybeRun && out.Answered == 0:
+		return samphirepass.ClientAnswer{}, later(retryRefusedMs, samphirepass.Refuse(samphirepass.CodeOverloaded, "every leaf that was asked refused the request"))
+	case ctx.Err() != nil:
+		refusal := samphirepass.RefuseUnknown("%d of %d shards answered in time", out.Answered, len(one.Shards))
+		refusal.Code = samphirepass.CodeDeadline
+		return samphirepass.ClientAnswer{}, refusal
+	case out.Failure != nil && !one.Route.Gathers():
+		return samphirepass.ClientAnswer{Leaf: out.Failure}, nil
+	default:
+		return samphirepass.ClientAnswer{}, samphirepass.RefuseUnknown("%d of %d shards answered and the others failed", out.Answered, len(one.Shards))
+	}
+}
+
+func gathered(one leaf.Delivery, out leaf.Delivered) *samphirepass.GatheredAnswer {
+	a := &samphirepass.GatheredAnswer{Missing: len(one.Shards) - out.Answered, Body: mergeTop(out.Replies, one.Route.Top)}
+	for _, reply := range out.Replies {
+		if reply != nil {
+			a.Signatures = append(a.Signatures, reply.Answer.Signature)
+		}
+	}
+	return a
+}
+
+// refuse records a request that was refused before it had a plan.
+func (d *Dispatcher) refuse(r samphirepass.ClientRequest, version samphirepass.RoutingVersion, refusal *samphirepass.Refusal) (samphirepass.ClientAnswer, error) {
+	d.o.Metrics.Request("", 0, metrics.QueryRefused, 0)
+	d.o.Log.Decision("Request refused.", "request", r.ID, "host", r.Host, "path", r.Path, "routing", version, "code", refusal.Code, "reason", refusal.Message)
+	return samphirepass.ClientAnswer{}, refusal
+}
+
+// record books how a request ended, with what decided it.
+func (d *Dispatcher) record(router *Router, one leaf.Delivery, out leaf.Delivered, refusal *samphirepass.Refusal, took samphirepass.Millis) {
+	result := metrics.QueryWhole
+	switch {
+	case refusal != nil:
+		result = metrics.QueryRefused
+	case out.Answered < len(one.Shards):
+		result = metrics.QueryPartial
+	}
+	d.o.Metrics.Request(string(one.Route.Name), one.Route.Rank, result, took)
+	d.o.Metrics.Attempts(samphirepass.Service(one.Route.Name), out.Attempts, out.Extra)
+	if refusal != nil {
+		d.o.Log.Decision("Request not served.", "request", one.Request.ID, "route", one.Route.Name, "routing", router.routing.Version,
+			"code", refusal.Code, "reason", refusal.Message, "not-run", refusal.NotRun, "shards", len(one.Shards), "known", out.Known,
+			"answered", out.Answered, "attempts", out.Attempts, "extra", out.Extra, "deadline-ms", int(one.Request.DeadlineMs), "took-ms", int(took))
+		return
+	}
+	d.o.Log.Decision("Request answered.", "request", one.Request.ID, "route", one.Route.Name, "routing", router.routing.Version, "result", result,
+		"shards", len(one.Shards), "answered", out.Answered, "attempts", out.Attempts, "extra", out.Extra, "took-ms", int(took))
+}
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -30,8 +30,8 @@
 	PatienceMs samphirepass.Millis
 }
 
-// least returns the number of shards without which there is no answer.
-func (d Delivery) least() int {
+// Least returns the number of shards without which there is no answer.
+func (d Delivery) Least() int {
 	if !d.Route.Gathers() {
 		return 1
 	}
@@ -134,7 +134,7 @@
 	c := course{
 		hedger: d.hedger(one.Route.Name), budgets: make([]samphirepass.Budget, len(one.Shards)),
 		attempts: max(one.Route.Attempts, 1), once: one.Route.Kind == samphirepass.AtMostOnce,
-		settle: one.SettleMs, patience: one.PatienceMs, least: one.least(), linger: lingerMs, goneLinger: goneLingerMs,
+		settle: one.SettleMs, patience: one.PatienceMs, least: one.Least(), linger: lingerMs, goneLinger: goneLingerMs,
 	}
 	out := Delivered{Least: c.least, Replies: make([]*samphirepass.Reply, len(one.Shards))}
 	for i, s := range one.Shards {
--- a/leaf/lane.go
+++ b/leaf/lane.go
@@ -39,6 +39,8 @@
 	idleMs samphirepass.Millis
 	// written counts the bytes that were handed to the connection.
 	written atomic.Int64
+	// open is the connection that was dialled last.
+	open atomic.Pointer[net.Conn]
 }
 
 func newLane() *lane {
@@ -52,6 +54,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("dial leaf: %w", err)
 			}
+			one.open.Store(&c)
 			return countedConn{Conn: c, written: &one.written}, nil
 		},
 		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true, ForceAttemptHTTP2: false,
@@ -83,6 +86,14 @@
 	l.transport.CloseIdleConnections()
 }
 
+// drop closes the connection, also where the transport would keep it.
+func (l *lane) drop() {
+	if c := l.open.Swap(nil); c != nil {
+		// The connection is given up whatever its end says.
+		_ = (*c).Close()
+	}
+}
+
 // lanes shares out the connections that this entry may hold to one leaf; it is safe for concurrent use.
 type lanes struct {
 	clock samphirepass.Clock
--- a/leaf/registry.go
+++ b/leaf/registry.go
@@ -71,6 +71,8 @@
 	reports map[string]map[samphirepass.Leaf]bool
 	version uint64
 	digest  uint64
+	// changed is closed at the next change of the version; it is nil while nobody waits.
+	changed chan struct{}
 }
 
 // NewRegistry returns an empty registry.
@@ -120,13 +122,37 @@
 	k.changed = have.changed
 	if before != after {
 		r.digest ^= before ^ after
-		r.version++
+		r.bumpLocked()
 		k.changed = r.version
 	}
 	r.leaves[a.Leaf] = k
 	return true, before != after
 }
 
+// bumpLocked counts a change and wakes whoever waits for one.
+func (r *Registry) bumpLocked() {
+	r.version++
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
+}
+
+// Changed returns a channel that is closed once the version is above the given one.
+func (r *Registry) Changed(version uint64) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.version > version {
+		done := make(chan struct{})
+		close(done)
+		return done
+	}
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	return r.changed
+}
+
 // claimAddressLocked reports whether a is of the leaf that started last at its address; an earlier one there is gone.
 // A late announcement of a crashed leaf must not take the address from the leaf that has it now.
 func (r *Registry) claimAddressLocked(a samphirepass.Announcement) bool {
@@ -160,7 +186,7 @@
 	before := k.content
 	k.content = content(k.Announcement)
 	r.digest ^= before ^ k.content
-	r.version++
+	r.bumpLocked()
 	k.changed = r.version
 	r.leaves[name] = k
 	return true
@@ -178,7 +204,7 @@
 				delete(r.addresses, k.Address)
 			}
 			r.digest ^= k.content
-			r.version++
+			r.bumpLocked()
 		}
 	}
 }
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -74,6 +74,9 @@
 	reply, err := s.exchange(ctx, t, one, to, a)
 	if err != nil {
 		one.cutMs = s.clock.Now()
+		if answeredOther(err) {
+			one.drop()
+		}
 		return reply, err
 	}
 	one.usedMs = s.clock.Now()
@@ -128,6 +131,12 @@
 	return samphirepass.Millis(n) * 1000
 }
 
+// answeredOther reports whether the connection gave an answer to something else, after which nothing on it can be trusted.
+func answeredOther(err error) bool {
+	var failure *samphirepass.AttemptError
+	return errors.As(err, &failure) && failure.Kind == samphirepass.FailureMismatch
+}
+
 func failed(kind samphirepass.FailureKind, err error) error {
 	return &samphirepass.AttemptError{Kind: kind, Err: err}
 }
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -15,6 +15,8 @@
 	Outcome *Outcome             `codec:",omitempty"`
 	Seat    *SeatChange          `codec:",omitempty"`
 	Form    *Form                `codec:",omitempty"`
+	// Routing replaces the routing document if its version is higher.
+	Routing *samphirepass.RoutingDocument `codec:",omitempty"`
 }
 
 // Claim asks for the right to send a run to a leaf.
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -45,6 +45,8 @@
 	Seats    []Seat
 	// Left names the process of each VM that gave its seat up last.
 	Left map[samphirepass.VM]string
+	// Routing is the routing document with the highest version.
+	Routing samphirepass.RoutingDocument
 }
 
 // State is the replicated state and is safe for concurrent use.
@@ -161,6 +163,8 @@
 		s.c.Formed = true
 		s.c.SeatCount = cmd.Form.Seats
 		s.c.Revision = index
+	case cmd.Routing != nil:
+		return Result{Refused: s.applyRouting(*cmd.Routing)}
 	}
 	return Result{}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 
@@ -34,6 +35,7 @@
 type Metrics struct {
 	registry *prometheus.Registry
 	queries  *prometheus.HistogramVec
+	requests *prometheus.HistogramVec
 	attempts *prometheus.CounterVec
 	extra    *prometheus.CounterVec
 	runs     *prometheus.CounterVec
@@ -52,6 +54,10 @@
 		Name: "samphirepass_query_seconds", Help: "Time of queries by caller, class and result.",
 		Buckets: []float64{.002, .005, .01, .02, .03, .05, .075, .1, .17, .25, .5, 1, 2.5},
 	}, []string{"service", "caller", "class", "result"})
+	m.requests = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "samphirepass_request_seconds", Help: "Time of clients' requests by route, rank and result.",
+		Buckets: []float64{.01, .02, .03, .045, .06, .08, .1, .12, .15, .2, .3, .5, .75, 1, 2.5, 5},
+	}, []string{"route", "rank", "result"})
 	m.attempts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "samphirepass_leaf_requests_total", Help: "Requests to leaves.",
 	}, []string{"service"})
@@ -61,7 +67,7 @@
 	m.runs = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "samphirepass_runs_total", Help: "Requests that may not be repeated, by how they ended.",
 	}, []string{"service", "state"})
-	m.registry.MustRegister(m.queries, m.attempts, m.extra, m.runs)
+	m.registry.MustRegister(m.queries, m.requests, m.attempts, m.extra, m.runs)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -84,6 +90,12 @@
 	m.queries.WithLabelValues(string(s), m.callerLabel(c), string(class), string(r)).Observe(float64(took) * millisToSecs)
 }
 
+// Request records one request of a client to a route.
+func (m *Metrics) Request(route string, rank int, r QueryResult, took samphirepass.Millis) {
+	label := m.callerLabel(samphirepass.Caller(route))
+	m.requests.WithLabelValues(label, strconv.Itoa(rank), string(r)).Observe(float64(took) * millisToSecs)
+}
+
 // Attempts records the leaf requests of one query.
 func (m *Metrics) Attempts(s samphirepass.Service, all, extra int) {
 	m.attempts.WithLabelValues(string(s)).Add(float64(all))
--- a/peer/server.go
+++ b/peer/server.go
@@ -15,8 +15,9 @@
 // Path is where a process serves its peers.
 const Path = "/peer"
 
-// Handlers maps the kinds of requests and one-way messages to functions; it is filled before use.
+// Handlers maps the kinds of requests and one-way messages to functions; it is safe for concurrent use.
 type Handlers struct {
+	mu sync.RWMutex
 	calls    map[string]func(ctx context.Context, body []byte) (any, error)
 	notifies map[string]func(body []byte)
 }
@@ -29,8 +30,10 @@
 	}
 }
 
-// HandleCall registers the function for requests of one kind.
+// HandleCall registers the function for requests of one kind, in place of an earlier one.
 func HandleCall[Req, Reply any](h *Handlers, kind string, f func(context.Context, Req) (Reply, error)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.calls[kind] = func(ctx context.Context, body []byte) (any, error) {
 		var req Req
 		if err := cbor.Unmarshal(body, &req); err != nil {
@@ -42,6 +45,8 @@
 
 // HandleNotify registers the function for one-way messages of one kind; it must not block.
 func HandleNotify[Req any](h *Handlers, kind string, f func(Req)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.notifies[kind] = func(body []byte) {
 		var req Req
 		if cbor.Unmarshal(body, &req) == nil {
@@ -51,7 +56,9 @@
 }
 
 func (h *Handlers) call(ctx context.Context, kind string, body []byte) ([]byte, error) {
+	h.mu.RLock()
 	f := h.calls[kind]
+	h.mu.RUnlock()
 	if f == nil {
 		return nil, samphirepass.Refuse(samphirepass.CodeNotFound, "no request of kind %q", kind)
 	}
@@ -67,7 +74,10 @@
 }
 
 func (h *Handlers) notify(kind string, body []byte) {
-	if f := h.notifies[kind]; f != nil {
+	h.mu.RLock()
+	f := h.notifies[kind]
+	h.mu.RUnlock()
+	if f != nil {
 		f(body)
 	}
 }
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -120,12 +120,29 @@
 // LastTerm returns the term of the last entry.
 func (c *Core) LastTerm() samphirepass.Term { return c.log.lastTerm() }
 
+// SinceLeader returns the number of ticks since a leader was last heard of; it is 0 on a leader.
+func (c *Core) SinceLeader() int {
+	if c.role == RoleLeader {
+		return 0
+	}
+	return c.sinceLeader
+}
+
 // LogLength returns the number of entries since the last snapshot.
 func (c *Core) LogLength() int { return len(c.log.entries) }
 
 // Initialised reports whether this member has ever held a membership.
 func (c *Core) Initialised() bool { return len(c.members) > 0 }
 
+// LogBytes returns the number of bytes of data in the entries since the last snapshot.
+func (c *Core) LogBytes() int {
+	n := 0
+	for _, e := range c.log.entries {
+		n += len(e.Data)
+	}
+	return n
+}
+
 // Match returns the highest index that vm is known to hold; it is 0 on members that do not lead.
 func (c *Core) Match(vm samphirepass.VM) samphirepass.Revision {
 	if p := c.peers[vm]; p != nil {
--- a/shell/shell.go
+++ b/shell/shell.go
@@ -26,11 +26,13 @@
 
 // options are the subcommands.
 type options struct {
-	Entry    entryCommand    `command:"entry" description:"Run an entry VM's process."`
-	Control  controlCommand  `command:"control" description:"Run a control VM's process."`
-	Check    checkCommand    `command:"check" description:"Check a settings file and list every fault."`
-	Demo     demoCommand     `command:"demo" description:"Run all roles in one process under a bounded load."`
-	Operator operatorCommand `command:"operator" description:"Read and change resources." subcommands-optional:"false"`
+	Entry     entryCommand     `command:"entry" description:"Run an entry VM's process."`
+	Control   controlCommand   `command:"control" description:"Run a control VM's process."`
+	Gateway   gatewayCommand   `command:"gateway" description:"Run a gateway between clients and leaves, on a platform with discovery."`
+	Registrar registrarCommand `command:"registrar" description:"Run a process of control, on a platform with discovery."`
+	Check     checkCommand     `command:"check" description:"Check a settings file and list every fault."`
+	Demo      demoCommand      `command:"demo" description:"Run all roles in one process under a bounded load."`
+	Operator  operatorCommand  `command:"operator" description:"Read and change resources." subcommands-optional:"false"`
 }
 
 // Main runs the command that args name and returns the exit status.
--- a/strict/validate.go
+++ b/strict/validate.go
@@ -66,6 +66,7 @@
 
 var phrases = map[string]string{
 	"min": "at least ", "max": "at most ", "oneof": "one of ", "unique": "no value twice", "ip_port": "an IP number with a port",
+	"ip": "an IP number",
 }
 
 // allowed puts a validation tag into words.
