--- a/control/handshake.go
+++ b/control/handshake.go
@@ -136,9 +136,19 @@
 	return out
 }
 
+// configured returns the address of a process that is in no membership that this one has seen, which happens to one that has just joined.
 func (n *Node) configured(vm samphirepass.VM) quorum.Member {
-	m, _ := quorum.Members(n.o.Members).Find(vm)
-	return m
+	if m, ok := quorum.Members(n.o.Members).Find(vm); ok {
+		return m
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, have := range n.contacts {
+		if have == vm {
+			return quorum.Member{VM: vm, Address: address}
+		}
+	}
+	return quorum.Member{}
 }
 
 func (n *Node) helloAll(ctx context.Context, members quorum.Members) []helloReply {
--- a/control/node.go
+++ b/control/node.go
@@ -223,6 +223,9 @@
 
 // firstMembers is the membership of a new log: this VM votes, the others are awaited.
 func (n *Node) firstMembers() quorum.Members {
+	if n.open() {
+		return quorum.Members{{VM: n.o.VM, Address: n.o.Address, Disk: n.identity.Disk, Voter: true}}
+	}
 	var out quorum.Members
 	for _, m := range n.o.Members {
 		if m.VM == n.o.VM {
--- /dev/null
+++ b/control/open_test.go
@@ -0,0 +1,166 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphirepass"
+	"samphirepass/control"
+	"samphirepass/disk"
+	"samphirepass/peer"
+	"samphirepass/quorum"
+)
+
+// openMember is one member of a log without a list of members, on a loopback port.
+type openMember struct {
+	node    *control.Node
+	address string
+	folder  string
+	stop    func()
+}
+
+// startOpen runs a member; an empty folder asks for a new one.
+func startOpen(t *testing.T, vm, address, folder string, seeds []string, found bool) *openMember {
+	t.Helper()
+	if folder == "" {
+		folder = t.TempDir()
+	}
+	files, err := disk.OpenFolder(folder)
+	require.NoError(t, err)
+	peers := &peer.Pool{}
+	node := control.NewNode(control.Options{
+		VM: samphirepass.VM(vm), Address: address, Seeds: seeds, Found: found, Voters: 3,
+		Files: files, Clock: samphirepass.SystemClock{}, Peers: peers, Log: t.Logf,
+	})
+	handlers := peer.NewHandlers()
+	node.Register(handlers)
+	ws := peer.NewServer(handlers)
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, ws)
+	l, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	server := &http.Server{Handler: mux}
+	go func() { _ = server.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = node.Serve(ctx)
+	}()
+	m := &openMember{node: node, address: address, folder: folder}
+	stopped := false
+	m.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		<-done
+		ws.Close()
+		_ = server.Close()
+		peers.Close()
+	}
+	t.Cleanup(m.stop)
+	return m
+}
+
+func voters(m *openMember) int { return m.node.Members().Voters() }
+
+// putRouting retries until the document is acknowledged.
+func putRouting(t *testing.T, version samphirepass.RoutingVersion, seeds []string) {
+	t.Helper()
+	members := make(quorum.Members, len(seeds))
+	for i, s := range seeds {
+		members[i].Address = s
+	}
+	peers := &peer.Pool{}
+	defer peers.Close()
+	c := control.NewClient(members, peers)
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		return c.PutRouting(ctx, samphirepass.RoutingDocument{Version: version, Source: []byte(fmt.Sprint(version))}) == nil
+	}, 20*time.Second, 20*time.Millisecond)
+}
+
+func readRouting(t *testing.T, seeds []string) samphirepass.RoutingDocument {
+	t.Helper()
+	members := make(quorum.Members, len(seeds))
+	for i, s := range seeds {
+		members[i].Address = s
+	}
+	peers := &peer.Pool{}
+	defer peers.Close()
+	c := control.NewClient(members, peers)
+	var d samphirepass.RoutingDocument
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var err error
+		d, err = c.Routing(ctx)
+		return err == nil
+	}, 20*time.Second, 20*time.Millisecond)
+	return d
+}
+
+// TestOpenMembership founds a log from three seeds, lets a fourth process in, and replaces a member that is gone for good.
+func TestOpenMembership(t *testing.T) {
+	addresses := []string{freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t)}
+	seeds := addresses[:3]
+	var members []*openMember
+	for i, a := range addresses[:4] {
+		members = append(members, startOpen(t, fmt.Sprintf("vm-%d", i), a, "", seeds, true))
+	}
+	require.Eventually(t, func() bool { return voters(members[0]) == 4 }, 20*time.Second, 20*time.Millisecond)
+	putRouting(t, 5, seeds)
+	putRouting(t, 3, seeds)
+	require.Equal(t, samphirepass.RoutingVersion(5), readRouting(t, seeds).Version, "a lower version is acknowledged and changes nothing")
+
+	members[1].stop()
+	replacement := startOpen(t, "vm-9", addresses[4], "", []string{addresses[1], addresses[3]}, false)
+	require.Eventually(t, func() bool {
+		_, old := replacement.node.Members().Find("vm-1")
+		return voters(replacement) == 4 && !old
+	}, 20*time.Second, 20*time.Millisecond)
+	require.Equal(t, samphirepass.RoutingVersion(5), readRouting(t, []string{addresses[4]}).Version)
+}
+
+// TestOpenMembersComeBack stops all members at once and starts them on their disks, and one of them on an empty disk.
+func TestOpenMembersComeBack(t *testing.T) {
+	seeds := []string{freeAddress(t), freeAddress(t), freeAddress(t)}
+	var members []*openMember
+	for i, a := range seeds {
+		members = append(members, startOpen(t, fmt.Sprintf("vm-%d", i), a, "", seeds, true))
+	}
+	putRouting(t, 7, seeds)
+	for _, m := range members {
+		m.stop()
+	}
+	for i, m := range members {
+		folder := m.folder
+		if i == 0 {
+			folder = t.TempDir()
+		}
+		members[i] = startOpen(t, fmt.Sprintf("vm-%d", i), m.address, folder, seeds, false)
+	}
+	require.Equal(t, samphirepass.RoutingVersion(7), readRouting(t, seeds).Version)
+	require.Eventually(t, func() bool { return voters(members[0]) == 3 }, 20*time.Second, 20*time.Millisecond)
+}
+
+// TestEmptyDisksFoundNothingLater shows that processes with empty disks wait where the system has started before.
+func TestEmptyDisksFoundNothingLater(t *testing.T) {
+	seeds := []string{freeAddress(t), freeAddress(t), freeAddress(t)}
+	for i, a := range seeds {
+		startOpen(t, fmt.Sprintf("vm-%d", i), a, "", seeds, false)
+	}
+	c := control.NewClient(quorum.Members{{Address: seeds[0]}, {Address: seeds[1]}}, &peer.Pool{})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	require.Error(t, c.PutRouting(ctx, samphirepass.RoutingDocument{Version: 1}))
+}
--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -69,7 +69,9 @@
 	})
 	r.client = control.NewClient(members(cfg.SeedPeers()), r.peers)
 	r.source.Register(r.handlers)
-	control.RegisterDiskless(r.handlers, cfg.VM)
+	if cfg.DataFolder == "" {
+		control.RegisterDiskless(r.handlers, cfg.VM)
+	}
 	return r, r.listen()
 }
 
