--- a/peer/server.go
+++ b/peer/server.go
@@ -17,7 +17,7 @@
 
 // Handlers maps the kinds of requests and one-way messages to functions; it is safe for concurrent use.
 type Handlers struct {
-	mu sync.RWMutex
+	mu       sync.RWMutex
 	calls    map[string]func(ctx context.Context, body []byte) (any, error)
 	notifies map[string]func(body []byte)
 }
