gateway, leaf, policy: Test routes, deliveries, budgets and choices without a network

The test of a leaf that was slow a while ago failed: the typical latency was a mean that the slow leaf itself swayed. It is the lower median now.

--- /dev/null
+++ b/gateway/dispatch_test.go
@@ -0,0 +1,175 @@
+package gateway_test
+
+import (
+	"context"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphirepass"
+	"samphirepass/gateway"
+	"samphirepass/leaf"
+	"samphirepass/metrics"
+)
+
+// deliverer gives what a test lays down.
+type deliverer struct {
+	out     leaf.Delivered
+	wait    time.Duration
+	covered int
+	got     []leaf.Delivery
+}
+
+func (d *deliverer) Deliver(ctx context.Context, one leaf.Delivery) leaf.Delivered {
+	d.got = append(d.got, one)
+	if d.wait > 0 {
+		select {
+		case <-time.After(d.wait):
+		case <-ctx.Done():
+		}
+	}
+	return d.out
+}
+
+func (d *deliverer) Covered([]samphirepass.Service) int { return d.covered }
+
+func part(signature, body string) *samphirepass.Reply {
+	return &samphirepass.Reply{Body: []byte(body), Answer: &samphirepass.LeafAnswer{Status: 200, Signature: signature}}
+}
+
+var (
+	gathering = samphirepass.Route{
+		Name: "g", Host: "a.example", Prefix: "/g/", Kind: samphirepass.Repeatable, TimeoutMs: 300, TargetMs: 60, Attempts: 2,
+		Shards: []samphirepass.Service{"s1", "s2", "s3", "s4"}, Top: 2, LeastShare: 0.75,
+	}
+	single = samphirepass.Route{
+		Name: "s", Host: "a.example", Prefix: "/s/", Kind: samphirepass.AtMostOnce, TimeoutMs: 300, TargetMs: 60, Attempts: 2,
+		Services: []samphirepass.WeightedService{{Service: "s1", Weight: 1}},
+	}
+)
+
+func dispatcher(d *deliverer) *gateway.Dispatcher {
+	out := gateway.NewDispatcher(gateway.Options{Deliverer: d, Metrics: metrics.NewMetrics(), Clock: samphirepass.SystemClock{}})
+	out.Use(samphirepass.Routing{Version: 5, Routes: []samphirepass.Route{gathering, single}})
+	return out
+}
+
+func request(path string) samphirepass.ClientRequest {
+	return samphirepass.ClientRequest{ID: "r1", Host: "a.example", Path: path, DeadlineMs: 1000}
+}
+
+func record(c byte) string { return strings.Repeat(string(c), 16) }
+
+func TestDispatchGathers(t *testing.T) {
+	d := &deliverer{covered: 4, out: leaf.Delivered{
+		Replies:  []*samphirepass.Reply{part("a", record('b')+record('d')), nil, part("c", record('c')+"short"), part("d", "")},
+		Answered: 3, Least: 3,
+	}}
+	answer, err := dispatcher(d).Dispatch(t.Context(), request("/g/1"))
+	require.NoError(t, err)
+	require.Equal(t, &samphirepass.GatheredAnswer{Signatures: []string{"a", "c", "d"}, Missing: 1, Body: []byte(record('d') + record('c'))}, answer.Gathered)
+	require.Equal(t, samphirepass.Millis(300), d.got[0].Request.DeadlineMs, "the route's timeout bounds the client's deadline")
+}
+
+func TestDispatchRefuses(t *testing.T) {
+	failure := part("f", "broken")
+	failure.Answer.Status = 500
+	late := 400 * time.Millisecond
+	tests := map[string]struct {
+		path   string
+		d      *deliverer
+		code   samphirepass.Code
+		notRun bool
+		soon   bool
+	}{
+		"no route":                 {"/none/", &deliverer{covered: 4}, samphirepass.CodeNotFound, true, true},
+		"too few leaves are known": {"/g/", &deliverer{covered: 2}, samphirepass.CodeUnavailable, true, true},
+		"all leaves refused":       {"/s/", &deliverer{covered: 1, out: leaf.Delivered{Replies: make([]*samphirepass.Reply, 1), Least: 1}}, samphirepass.CodeOverloaded, true, true},
+		"may have run":             {"/s/", &deliverer{covered: 1, out: leaf.Delivered{Replies: make([]*samphirepass.Reply, 1), Least: 1, MaybeRun: true}}, samphirepass.CodeUnknown, false, true},
+		"too few shards": {
+			"/g/", &deliverer{covered: 4, out: leaf.Delivered{Replies: []*samphirepass.Reply{part("a", ""), nil, nil, nil}, Answered: 1, Least: 3}},
+			samphirepass.CodeUnknown, false, true,
+		},
+		"too late": {
+			"/g/", &deliverer{covered: 4, wait: late, out: leaf.Delivered{Replies: make([]*samphirepass.Reply, 4), Least: 3, MaybeRun: true}},
+			samphirepass.CodeDeadline, false, false,
+		},
+		"a gathered failure is no answer": {
+			"/g/", &deliverer{covered: 4, out: leaf.Delivered{Replies: make([]*samphirepass.Reply, 4), Least: 3, MaybeRun: true, Failure: failure}},
+			samphirepass.CodeUnknown, false, true,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			began := time.Now()
+			_, err := dispatcher(tt.d).Dispatch(t.Context(), request(tt.path))
+			refusal := samphirepass.AsRefusal(err)
+			require.NotNil(t, refusal)
+			require.Equal(t, tt.code, refusal.Code)
+			require.Equal(t, tt.notRun, refusal.NotRun)
+			if tt.soon {
+				require.Less(t, time.Since(began), 100*time.Millisecond, "what cannot be served is refused at once")
+			}
+			if tt.notRun && tt.code != samphirepass.CodeNotFound {
+				require.Positive(t, refusal.RetryAfterMs)
+			}
+		})
+	}
+}
+
+func TestDispatchBeforeRouting(t *testing.T) {
+	d := gateway.NewDispatcher(gateway.Options{Deliverer: &deliverer{}, Metrics: metrics.NewMetrics(), Clock: samphirepass.SystemClock{}})
+	_, err := d.Dispatch(t.Context(), request("/g/"))
+	require.Equal(t, samphirepass.CodeUnavailable, samphirepass.AsRefusal(err).Code, "without routing nothing is known not to exist")
+}
+
+func TestLeafFailureIsPassedOn(t *testing.T) {
+	failure := part("f", "broken")
+	failure.Answer.Status = 500
+	d := &deliverer{covered: 1, out: leaf.Delivered{Replies: make([]*samphirepass.Reply, 1), Least: 1, MaybeRun: true, Failure: failure}}
+	answer, err := dispatcher(d).Dispatch(t.Context(), request("/s/"))
+	require.NoError(t, err)
+	require.Same(t, failure, answer.Leaf)
+}
+
+// TestRoutingNeverReverts puts versions in force in random order.
+func TestRoutingNeverReverts(t *testing.T) {
+	d := gateway.NewDispatcher(gateway.Options{Deliverer: &deliverer{}, Metrics: metrics.NewMetrics(), Clock: samphirepass.SystemClock{}})
+	highest := samphirepass.RoutingVersion(0)
+	for _, v := range rand.New(rand.NewSource(1)).Perm(200) {
+		version := samphirepass.RoutingVersion(v + 1)
+		require.Equal(t, version > highest, d.Use(samphirepass.Routing{Version: version}))
+		highest = max(highest, version)
+		routing, ok := d.Routing()
+		require.True(t, ok)
+		require.Equal(t, highest, routing.Version)
+	}
+}
+
+// TestMergeKeepsTheGreatest compares with sorting everything.
+func TestMergeKeepsTheGreatest(t *testing.T) {
+	rnd := rand.New(rand.NewSource(2))
+	for range 200 {
+		d := &deliverer{covered: 4, out: leaf.Delivered{Answered: 4, Least: 3}}
+		var all []string
+		for range 4 {
+			var body strings.Builder
+			for range rnd.Intn(6) {
+				one := record('a' + byte(rnd.Intn(4)))
+				all = append(all, one)
+				body.WriteString(one)
+			}
+			body.WriteString(strings.Repeat("z", rnd.Intn(16)))
+			d.out.Replies = append(d.out.Replies, part("s", body.String()))
+		}
+		answer, err := dispatcher(d).Dispatch(t.Context(), request("/g/"))
+		require.NoError(t, err)
+		slices.Sort(all)
+		slices.Reverse(all)
+		require.Equal(t, strings.Join(all[:min(len(all), 2)], ""), string(answer.Gathered.Body))
+	}
+}
--- /dev/null
+++ b/gateway/router_test.go
@@ -0,0 +1,82 @@
+package gateway_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"samphirepass"
+	"samphirepass/gateway"
+)
+
+func route(name, host, prefix string, services ...samphirepass.WeightedService) samphirepass.Route {
+	return samphirepass.Route{
+		Name: samphirepass.RouteName(name), Host: host, Prefix: prefix, Kind: samphirepass.Repeatable,
+		TimeoutMs: 1000, TargetMs: 100, Attempts: 2, Services: services,
+	}
+}
+
+func weighted(service string, weight float64) samphirepass.WeightedService {
+	return samphirepass.WeightedService{Service: samphirepass.Service(service), Weight: weight}
+}
+
+func TestFindRoute(t *testing.T) {
+	r := gateway.NewRouter(samphirepass.Routing{Version: 1, Routes: []samphirepass.Route{
+		route("short", "A.example", "/x/", weighted("s", 1)),
+		route("long", "a.example", "/x/y/", weighted("s", 1)),
+		route("other", "b.example", "/x/", weighted("s", 1)),
+	}})
+	tests := map[string]struct{ host, path, want string }{
+		"shorter prefix":         {"a.example", "/x/z", "short"},
+		"longer prefix":          {"a.example", "/x/y/z", "long"},
+		"prefix without its end": {"a.example", "/x/y", "short"},
+		"host in another case":   {"A.EXAMPLE", "/x/", "short"},
+		"host with a port":       {"b.example:8080", "/x/1", "other"},
+		"unknown host":           {"c.example", "/x/", ""},
+		"no prefix":              {"a.example", "/z/", ""},
+		"path is not a prefix":   {"a.example", "/x", ""},
+		"escaped slash is none":  {"a.example", "/x%2Fy/", ""},
+		"prefix inside the path": {"a.example", "/a/x/", ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, ok := r.Find(tt.host, tt.path)
+			require.Equal(t, tt.want != "", ok)
+			require.Equal(t, samphirepass.RouteName(tt.want), got.Name)
+		})
+	}
+}
+
+// TestSplitFollowsWeights checks the share of each part over every span of the requests, not only in the end.
+func TestSplitFollowsWeights(t *testing.T) {
+	tests := map[string][]samphirepass.WeightedService{
+		"even":         {weighted("a", 1), weighted("b", 1)},
+		"uneven":       {weighted("a", 9), weighted("b", 1)},
+		"three":        {weighted("a", 0.5), weighted("b", 0.3), weighted("c", 0.2)},
+		"one is empty": {weighted("a", 1), weighted("b", 0)},
+	}
+	for name, parts := range tests {
+		t.Run(name, func(t *testing.T) {
+			one := route("r", "h", "/", parts...)
+			r := gateway.NewRouter(samphirepass.Routing{Version: 1, Routes: []samphirepass.Route{one}})
+			total := 0.0
+			for _, p := range parts {
+				total += p.Weight
+			}
+			counts := map[samphirepass.Service]int{}
+			for n := 1; n <= 500; n++ {
+				shards := r.Shards(one)
+				require.Len(t, shards, 1)
+				counts[shards[0]]++
+				for _, p := range parts {
+					require.InDelta(t, float64(n)*p.Weight/total, float64(counts[p.Service]), float64(len(parts)), "after %d requests", n)
+				}
+			}
+			for _, p := range parts {
+				if p.Weight == 0 {
+					require.Zero(t, counts[p.Service])
+				}
+			}
+		})
+	}
+}
--- a/policy/stall.go
+++ b/policy/stall.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"samphirepass"
 )
@@ -37,7 +38,7 @@
 	if len(candidates) == 1 {
 		return 0
 	}
-	typical := typicalLatency(candidates)
+	typical := medianLatency(candidates)
 	best, least := 0, math.Inf(1)
 	for i, c := range candidates {
 		cost := SteadyCost(c, typical) * (1 + jitter*rand.Float64())
@@ -48,6 +49,21 @@
 	return best
 }
 
+// medianLatency returns the lower median over the leaves that have answered, which a few slow ones do not sway.
+func medianLatency(candidates []samphirepass.Candidate) samphirepass.Millis {
+	known := make([]samphirepass.Millis, 0, len(candidates))
+	for _, c := range candidates {
+		if c.LatencyMs > 0 {
+			known = append(known, c.LatencyMs)
+		}
+	}
+	if len(known) == 0 {
+		return unknownLatencyMs
+	}
+	slices.Sort(known)
+	return known[(len(known)-1)/2]
+}
+
 // SteadyCost estimates the wait at a leaf in milliseconds, with factors for what makes it a worse choice.
 func SteadyCost(c samphirepass.Candidate, typical samphirepass.Millis) float64 {
 	latency := faded(c, typical)
