platform, web: Serve the whole path in a test with real processes, and end servers with their context

Seen failing first: a gateway did not end within twice its time to stop. A server now ends with the context that it serves under.

--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -88,7 +88,7 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.Path, r.peerWS)
 	var err error
-	if r.peerHTTP, err = web.Listen(r.cfg.Peer(), peerMux); err != nil {
+	if r.peerHTTP, err = web.Listen(r.cfg.PeerListen(), peerMux); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	calls := &platform.Control{Store: r, Leaves: r, Log: r.log.For("control")}
--- a/scenario/system_test.go
+++ b/scenario/system_test.go
@@ -174,7 +174,7 @@
 	}
 	p.cmd = exec.Command(self, string(p.settings.Role), "--settings", p.path)
 	p.cmd.Env = append(os.Environ(), daemonVariable+"=1")
-	p.cmd.Stderr = out
+	p.cmd.Stdout, p.cmd.Stderr = out, out
 	forking.Lock()
 	err = p.cmd.Start()
 	forking.Unlock()
--- a/settings/node.go
+++ b/settings/node.go
@@ -32,6 +32,8 @@
 	DataCentre samphirepass.DataCentre `json:"data-centre" validate:"required,min=1,max=128"`
 	// IP is the VM's own IP number, from which connections to other processes start.
 	IP string `json:"ip" validate:"required,ip"`
+	// ListenIP is the IP number to listen on, if others reach this process at another one; it may be left out.
+	ListenIP string `json:"listen-ip,omitempty" validate:"omitempty,ip"`
 	// Front is where clients reach a gateway.
 	Front string `json:"front,omitempty" validate:"required_if=Role gateway,omitempty,ip_port"`
 	// Ready is where the balancer asks a gateway whether it takes new connections.
@@ -78,15 +80,26 @@
 	return n, nil
 }
 
-// Peer returns the address at which a registrar listens to other processes.
+// Peer returns the address at which other processes reach a registrar.
 func (n Node) Peer() string {
+	// The number has been checked.
+	a, _ := netip.ParseAddr(n.IP)
+	return peerAddress(a, n.PeerPort)
+}
+
+// PeerListen returns the address at which a registrar listens to other processes.
+func (n Node) PeerListen() string {
 	return peerAddress(n.Address(), n.PeerPort)
 }
 
-// Address returns the VM's IP number.
+// Address returns the IP number that connections to other processes start from.
 func (n Node) Address() netip.Addr {
+	text := n.ListenIP
+	if text == "" {
+		text = n.IP
+	}
 	// The number has been checked.
-	a, _ := netip.ParseAddr(n.IP)
+	a, _ := netip.ParseAddr(text)
 	return a
 }
 
--- a/web/http.go
+++ b/web/http.go
@@ -37,8 +37,13 @@
 // Address returns the address that is listened on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Serve answers until the server is shut down.
-func (s *Server) Serve(context.Context) error {
+// Serve answers until the server is shut down, or ctx ends, which cuts what is still open.
+func (s *Server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		// What is cut at the end has no other way to be told.
+		_ = s.server.Close()
+	})
+	defer stop()
 	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve http: %w", err)
 	}
