directory: Tell the processes of one VM apart

A gateway and a registrar on one VM have the same name, so a source counted one follower for both, and its count of entries flapped; each entry then took a larger share of connections. Followers are kept by VM and role now.

--- a/directory/source.go
+++ b/directory/source.go
@@ -34,6 +34,12 @@
 	Changed() <-chan struct{}
 }
 
+// followerKey tells the processes of one VM apart.
+type followerKey struct {
+	vm      samphirepass.VM
+	control string
+}
+
 type follower struct {
 	contact Contact
 	seen    samphirepass.Millis
@@ -55,7 +61,7 @@
 	epoch string
 
 	mu        sync.Mutex
-	followers map[samphirepass.VM]follower
+	followers map[followerKey]follower
 	// entries are those that other sources told of, with the time.
 	entries map[samphirepass.VM]samphirepass.Millis
 	centres map[string]samphirepass.DataCentre
@@ -64,7 +70,7 @@
 // NewSource returns a source without followers.
 func NewSource(o SourceOptions) *Source {
 	return &Source{
-		o: o, epoch: uuid.NewString(), followers: map[samphirepass.VM]follower{},
+		o: o, epoch: uuid.NewString(), followers: map[followerKey]follower{},
 		entries: map[samphirepass.VM]samphirepass.Millis{}, centres: map[string]samphirepass.DataCentre{},
 	}
 }
@@ -104,10 +110,11 @@
 func (s *Source) note(req followRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f := s.followers[req.VM]
+	key := followerKey{vm: req.VM, control: req.Control}
+	f := s.followers[key]
 	f.contact = Contact{Address: req.Control, DataCentre: req.DataCentre}
 	f.seen = s.o.Clock.Now()
-	s.followers[req.VM] = f
+	s.followers[key] = f
 	if req.Control != "" {
 		s.centres[req.Control] = req.DataCentre
 	}
@@ -134,11 +141,12 @@
 	}
 	now := s.o.Clock.Now()
 	s.mu.Lock()
-	f := s.followers[req.VM]
+	key := followerKey{vm: req.VM, control: req.Control}
+	f := s.followers[key]
 	due := now-f.aliveAt >= aliveEveryMs
 	if due {
 		f.aliveAt = now
-		s.followers[req.VM] = f
+		s.followers[key] = f
 	}
 	s.mu.Unlock()
 	if due {
@@ -176,14 +184,14 @@
 	now := s.o.Clock.Now()
 	all := map[samphirepass.VM]bool{}
 	var own []samphirepass.VM
-	for vm, f := range s.followers {
+	for key, f := range s.followers {
 		if now-f.seen >= followerFreshMs {
-			delete(s.followers, vm)
+			delete(s.followers, key)
 			continue
 		}
 		if f.contact.Address == "" {
-			own = append(own, vm)
-			all[vm] = true
+			own = append(own, key.vm)
+			all[key.vm] = true
 		}
 	}
 	for vm, at := range s.entries {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -192,7 +192,7 @@
 	if refusal != nil {
 		d.o.Log.Decision("Request not served.", "request", one.Request.ID, "route", one.Route.Name, "routing", router.routing.Version,
 			"code", refusal.Code, "reason", refusal.Message, "not-run", refusal.NotRun, "shards", len(one.Shards), "known", out.Known,
-			"answered", out.Answered, "attempts", out.Attempts, "extra", out.Extra, "deadline-ms", int(one.Request.DeadlineMs), "took-ms", int(took))
+			"answered", out.Answered, "attempts", out.Attempts, "allowed", one.Route.Attempts, "kind", one.Route.Kind, "extra", out.Extra, "deadline-ms", int(one.Request.DeadlineMs), "took-ms", int(took))
 		return
 	}
 	d.o.Log.Decision("Request answered.", "request", one.Request.ID, "route", one.Route.Name, "routing", router.routing.Version, "result", result,
--- a/leaf/deliver_test.go
+++ b/leaf/deliver_test.go
@@ -344,3 +344,19 @@
 }
 
 var _ samphirepass.Budget = (*policy.Window)(nil)
+
+// TestLostAnswerIsAskedForAgain loses the answer of the first leaf of a request that may be repeated.
+func TestLostAnswerIsAskedForAgain(t *testing.T) {
+	s := &scripted{answer: func(_ context.Context, to samphirepass.Leaf, _ int, _ samphirepass.Attempt) (samphirepass.Reply, error) {
+		if to == "0-0" {
+			return samphirepass.Reply{}, fail(samphirepass.FailureLost)
+		}
+		return ok()
+	}}
+	one := routed
+	one.Services = []samphirepass.WeightedService{{Service: service(0), Weight: 1}}
+	clock := samphirepass.SystemClock{}
+	d, _ := deliverer(s, policy.NewWindow(policy.WindowLimits{Ratio: 0.2, SpanMs: 10_000, Slack: 60}, func() float64 { return 0.1 }, clock))
+	out, _ := run(d, delivery(one))
+	require.Equal(t, 1, out.Answered)
+}
