daemon, leaf: Use only some leaves of a service where connections are fewer than entries

Each entry now uses at least two leaves of a service, its own data centre's first. A request that was not served names the leaf and the error of the attempt that failed last.

--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -1,7 +1,14 @@
 package daemon
 
 import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
 	"samphirepass"
+	"samphirepass/leaf"
 )
 
 const (
@@ -11,25 +18,51 @@
 	defaultConnections = 32
 	// connectionsPerSlot bounds the share of one entry: more connections than a leaf can work on only wait there.
 	connectionsPerSlot = 2
+	// leastLeaves is the number of leaves of a service that an entry needs for a second attempt.
+	leastLeaves = 2
 )
 
 // routingShares shares the connections of each leaf out evenly among the entries that follow the directory.
+// Where a leaf has fewer connections than there are entries, each entry uses only some of the leaves of a service.
 type routingShares struct{ g *Gateway }
 
-// Share returns how many connections this entry may hold to a leaf.
+// Share returns how many connections this entry may hold to a leaf, 0 if it leaves the leaf to others.
 func (s routingShares) Share(a samphirepass.Announcement) int {
 	routing, _ := s.g.dispatcher.Routing()
 	limit := routing.Connections[a.Service]
 	if limit <= 0 {
 		limit = defaultConnections
 	}
-	entries := max(s.g.follower.Entries(), 1)
-	share := int(connectionMargin * float64(limit) / float64(entries))
-	return min(max(share, 1), connectionsPerSlot*max(a.Slots, 1))
+	each := connectionMargin * float64(limit) / float64(max(s.g.follower.Entries(), 1))
+	if each < 1 && !s.picked(a, each) {
+		return 0
+	}
+	return min(max(int(each), 1), connectionsPerSlot*max(a.Slots, 1))
+}
+
+// picked reports whether a leaf is among those of its service that this entry uses, so that on average the given number of connections
+// comes to each leaf from each entry.
+func (s routingShares) picked(a samphirepass.Announcement, each float64) bool {
+	leaves := s.g.registry.Serving(a.Service)
+	keep := max(int(math.Floor(each*float64(len(leaves)))), leastLeaves)
+	if keep >= len(leaves) {
+		return true
+	}
+	slices.SortFunc(leaves, func(x, y leaf.Known) int { return cmp.Compare(s.rank(x.Announcement), s.rank(y.Announcement)) })
+	return slices.ContainsFunc(leaves[:keep], func(k leaf.Known) bool { return k.Leaf == a.Leaf })
+}
+
+// rank orders leaves for this entry: its own data centre's first, each entry in an order of its own.
+func (s routingShares) rank(a samphirepass.Announcement) uint64 {
+	rank := xxhash.Sum64String(string(s.g.cfg.VM)+"/"+string(a.Leaf)) >> 1
+	if a.DataCentre != s.g.cfg.DataCentre {
+		rank |= 1 << 63
+	}
+	return rank
 }
 
-// Version changes with the routing document and the number of entries.
+// Version changes with the routing document, the number of entries and the leaves.
 func (s routingShares) Version() uint64 {
 	routing, _ := s.g.dispatcher.Routing()
-	return uint64(routing.Version)<<20 + uint64(s.g.follower.Entries())
+	return uint64(routing.Version)<<40 + s.g.registry.Version()<<10 + uint64(s.g.follower.Entries())
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -178,6 +178,13 @@
 	return samphirepass.ClientAnswer{}, refusal
 }
 
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // record books how a request ended, with what decided it.
 func (d *Dispatcher) record(router *Router, one leaf.Delivery, out leaf.Delivered, refusal *samphirepass.Refusal, took samphirepass.Millis) {
 	result := metrics.QueryWhole
@@ -192,7 +199,8 @@
 	if refusal != nil {
 		d.o.Log.Decision("Request not served.", "request", one.Request.ID, "route", one.Route.Name, "routing", router.routing.Version,
 			"code", refusal.Code, "reason", refusal.Message, "not-run", refusal.NotRun, "shards", len(one.Shards), "known", out.Known,
-			"answered", out.Answered, "attempts", out.Attempts, "allowed", one.Route.Attempts, "kind", one.Route.Kind, "extra", out.Extra, "deadline-ms", int(one.Request.DeadlineMs), "took-ms", int(took))
+			"answered", out.Answered, "attempts", out.Attempts, "allowed", one.Route.Attempts, "kind", one.Route.Kind, "extra", out.Extra, "deadline-ms", int(one.Request.DeadlineMs), "took-ms", int(took),
+			"last-leaf", out.LastLeaf, "last-error", errorText(out.LastErr))
 		return
 	}
 	d.o.Log.Decision("Request answered.", "request", one.Request.ID, "route", one.Route.Name, "routing", router.routing.Version, "result", result,
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -51,6 +51,9 @@
 	Least int
 	// Failure is the last answer of a leaf that ran the request and failed.
 	Failure *samphirepass.Reply
+	// LastErr is the error of the attempt that failed last, LastLeaf the leaf that it was sent to.
+	LastErr  error
+	LastLeaf samphirepass.Leaf
 	// MaybeRun is set where a leaf may have run the request.
 	MaybeRun bool
 	// Extra counts the hedges and retries, Attempts all leaf requests.
@@ -119,11 +122,23 @@
 	}
 }
 
+// serving returns the leaves of a service that this entry may send to: they serve, and it may hold connections to them.
+func (d *Deliverer) serving(s samphirepass.Service) []Known {
+	all := d.registry.Serving(s)
+	allowed := all[:0]
+	for _, k := range all {
+		if d.pool.allowed(k.Announcement) {
+			allowed = append(allowed, k)
+		}
+	}
+	return allowed
+}
+
 // Covered counts the shards for which a leaf is known that may get work.
 func (d *Deliverer) Covered(shards []samphirepass.Service) int {
 	n := 0
 	for _, s := range shards {
-		if len(d.registry.Serving(s)) > 0 {
+		if len(d.serving(s)) > 0 {
 			n++
 		}
 	}
@@ -142,7 +157,7 @@
 	out := Delivered{Least: c.least, Replies: make([]*samphirepass.Reply, len(one.Shards))}
 	for i, s := range one.Shards {
 		c.budgets[i] = d.budgets(s)
-		leaves[i] = d.registry.Serving(s)
+		leaves[i] = d.serving(s)
 		if len(leaves[i]) > 0 {
 			out.Known++
 		}
@@ -160,6 +175,7 @@
 			out.Replies[i] = &s.reply
 		}
 	}
+	out.LastErr, out.LastLeaf = f.lastErr, f.lastLeaf
 	out.Answered, out.Failure, out.MaybeRun = f.answered, f.failure, f.maybeRun || f.running() > 0
 	out.Extra, out.Attempts, out.HalfMs, out.Shed = f.extra, f.attempts, f.halfMs, f.shed && f.answered < len(f.shards)
 	return out
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -99,6 +99,9 @@
 	late bool
 	// maybeRun is set once an attempt failed that may have run.
 	maybeRun bool
+	// lastErr is the error of the attempt that failed last, lastLeaf the leaf that it was sent to.
+	lastErr  error
+	lastLeaf samphirepass.Leaf
 	// failure is the last answer of a leaf that ran an attempt and failed.
 	failure *samphirepass.Reply
 }
@@ -306,6 +309,7 @@
 }
 
 func (f *fanOut) takeFailure(r result) {
+	f.lastErr, f.lastLeaf = r.err, r.leaf
 	budget := f.budgets[r.shard]
 	pay := budget.Take
 	var failure *samphirepass.AttemptError
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -92,6 +92,14 @@
 	return t
 }
 
+// allowed reports whether this entry may hold a connection to a leaf.
+func (b *Pool) allowed(a samphirepass.Announcement) bool {
+	t := b.target(a)
+	t.lanes.mu.Lock()
+	defer t.lanes.mu.Unlock()
+	return t.lanes.share > 0
+}
+
 // Refresh brings the shares of connections up to date and forgets leaves that are no longer announced.
 func (b *Pool) Refresh(known []Known) {
 	there := make(map[samphirepass.Leaf]bool, len(known))
