leaf: Take only connections that stand, and ask again where nothing was sent

A read with a past deadline returns before it looks at the socket, so connections that the leaf had closed were taken for live ones. The socket itself is read now, and an attempt of which no byte left is made once more on a new connection.

--- a/leaf/lane.go
+++ b/leaf/lane.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -107,16 +107,35 @@
 		return nil
 	}
 	c := *p
-	// A read that has no time to wait tells a live connection, which times out, from one that the leaf has closed.
-	_ = c.SetReadDeadline(time.Unix(1, 0))
-	_, err := c.Read(make([]byte, 1))
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil {
+	if stands(c) {
 		return c
 	}
+	// The leaf has closed the connection, so there is nothing more to learn from it.
 	_ = c.Close()
 	return nil
 }
 
+// stands reports whether an idle connection is neither closed by the other end nor holds bytes that belong to no request.
+func stands(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	alive := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		// The descriptor does not block, so a live connection says that it has nothing yet.
+		_, err := syscall.Read(int(fd), b[:])
+		alive = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && alive
+}
+
 // fresh makes the next request use a new connection.
 func (l *lane) fresh() {
 	if p := l.prepared.Swap(nil); p != nil {
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -71,7 +71,13 @@
 		// A kept connection may have gone silent, and a run has one try only.
 		one.fresh()
 	}
+	kept := one.usedMs > 0 || one.prepared.Load() != nil
 	reply, err := s.exchange(ctx, t, one, to, a)
+	if kept && ctx.Err() == nil && notSent(err) {
+		// The leaf had closed the kept connection; a new one tells whether it still serves.
+		one.fresh()
+		reply, err = s.exchange(ctx, t, one, to, a)
+	}
 	if err != nil {
 		one.cutMs = s.clock.Now()
 		if answeredOther(err) {
@@ -131,6 +137,12 @@
 	return samphirepass.Millis(n) * 1000
 }
 
+// notSent reports whether an attempt failed before a byte of it left.
+func notSent(err error) bool {
+	var failure *samphirepass.AttemptError
+	return errors.As(err, &failure) && failure.Kind == samphirepass.FailureNotSent
+}
+
 // answeredOther reports whether the connection gave an answer to something else, after which nothing on it can be trusted.
 func answeredOther(err error) bool {
 	var failure *samphirepass.AttemptError
