directory, settings: Test news, stale and silent sources, and bad settings

Found: a source that nobody else names as a seed was never followed by the only seed. Sources now tell their own follower of each process of control that asks.

--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -62,6 +62,7 @@
 	}
 	r.source = directory.NewSource(directory.SourceOptions{
 		Self: directory.Contact{Address: cfg.Peer(), DataCentre: cfg.DataCentre}, Registry: r.registry, State: r, Clock: clock,
+		Met: func(c directory.Contact) { r.follower.Meet(c) },
 	})
 	r.follower = directory.NewFollower(directory.FollowerOptions{
 		VM: cfg.VM, DataCentre: cfg.DataCentre, Control: cfg.Peer(), Seeds: cfg.SeedPeers(), Registry: r.registry, Peers: r.peers,
--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,246 @@
+package directory_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphirepass"
+	"samphirepass/directory"
+	"samphirepass/leaf"
+	"samphirepass/peer"
+	"samphirepass/standin"
+)
+
+// state is what a process of control knows, as a test lays down.
+type state struct {
+	mu        sync.Mutex
+	routing   samphirepass.RoutingDocument
+	leaderAge samphirepass.Millis
+	contacts  []string
+	changed   chan struct{}
+}
+
+func (s *state) AppliedRouting() samphirepass.RoutingDocument {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routing
+}
+
+func (s *state) LeaderAge() samphirepass.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaderAge
+}
+
+func (s *state) Contacts() []string { return s.contacts }
+
+func (s *state) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *state) set(version samphirepass.RoutingVersion, leaderAge samphirepass.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routing.Version, s.leaderAge = version, leaderAge
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// source is one process of control, reached through a relay.
+type source struct {
+	state    *state
+	registry *leaf.Registry
+	relay    *standin.Relay
+	source   *directory.Source
+	follower *directory.Follower
+}
+
+var clock = samphirepass.SystemClock{}
+
+// startSources runs n sources; the first one's address is the only seed of the others.
+func startSources(t *testing.T, n int) []*source {
+	t.Helper()
+	var out []*source
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		relay, err := standin.NewRelay("127.0.0.1:0", l.Addr().String())
+		require.NoError(t, err)
+		s := &source{state: &state{changed: make(chan struct{})}, registry: leaf.NewRegistry(clock), relay: relay}
+		s.source = directory.NewSource(directory.SourceOptions{
+			Self: directory.Contact{Address: relay.Address(), DataCentre: centre(i)}, Registry: s.registry, State: s.state, Clock: clock,
+			Met: func(c directory.Contact) { s.follower.Meet(c) },
+		})
+		out = append(out, s)
+		peers := &peer.Pool{}
+		s.follower = directory.NewFollower(directory.FollowerOptions{
+			VM: samphirepass.VM(fmt.Sprint("c", i)), DataCentre: centre(i), Control: relay.Address(), Seeds: []string{out[0].relay.Address()},
+			Registry: s.registry, Peers: peers, Clock: clock, Entries: s.source.TellEntries, Log: t.Logf,
+		})
+		handlers := peer.NewHandlers()
+		s.source.Register(handlers)
+		ws := peer.NewServer(handlers)
+		mux := http.NewServeMux()
+		mux.Handle(peer.Path, ws)
+		server := &http.Server{Handler: mux}
+		go func() { _ = server.Serve(l) }()
+		serve(t, s.follower)
+		t.Cleanup(func() {
+			relay.Close()
+			ws.Close()
+			_ = server.Close()
+			peers.Close()
+		})
+	}
+	return out
+}
+
+func centre(i int) samphirepass.DataCentre { return samphirepass.DataCentre(fmt.Sprint("centre-", i)) }
+
+func serve(t *testing.T, f *directory.Follower) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Serve(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// entry is a follower that is no process of control.
+type entry struct {
+	*directory.Follower
+	registry *leaf.Registry
+	mu       sync.Mutex
+	versions []samphirepass.RoutingVersion
+}
+
+func startEntry(t *testing.T, name string, sources []*source) *entry {
+	t.Helper()
+	e := &entry{registry: leaf.NewRegistry(clock)}
+	peers := &peer.Pool{}
+	e.Follower = directory.NewFollower(directory.FollowerOptions{
+		VM: samphirepass.VM(name), DataCentre: centre(0), Seeds: []string{sources[0].relay.Address()}, Registry: e.registry,
+		Peers: peers, Clock: clock, Log: t.Logf, Routing: func(d samphirepass.RoutingDocument) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.versions = append(e.versions, d.Version)
+		},
+	})
+	serve(t, e.Follower)
+	t.Cleanup(peers.Close)
+	return e
+}
+
+func (e *entry) version() samphirepass.RoutingVersion {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.versions) == 0 {
+		return 0
+	}
+	return e.versions[len(e.versions)-1]
+}
+
+func announce(s *source, name string, sequence uint64, state samphirepass.LeafState) {
+	s.registry.Hear(samphirepass.Announcement{
+		Leaf: samphirepass.Leaf(name), Service: "desk", Address: "10.0.0.1:1", Incarnation: 1, Sequence: sequence, State: state, Slots: 1,
+	}, 0, true)
+}
+
+func eventually(t *testing.T, within time.Duration, f func() bool, what string) {
+	t.Helper()
+	require.Eventually(t, f, within, 5*time.Millisecond, what)
+}
+
+// TestNewsReachesEveryone announces a leaf and its drain to one source, and a routing document to another.
+func TestNewsReachesEveryone(t *testing.T) {
+	sources := startSources(t, 3)
+	entries := []*entry{startEntry(t, "e1", sources), startEntry(t, "e2", sources)}
+	registries := []*leaf.Registry{sources[0].registry, sources[1].registry, sources[2].registry, entries[0].registry, entries[1].registry}
+	everywhere := func(n int) func() bool {
+		return func() bool {
+			for _, r := range registries {
+				if len(r.Serving("desk")) != n {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	eventually(t, 10*time.Second, entries[0].InTouch, "the entry meets a source")
+	announce(sources[2], "a", 1, samphirepass.LeafServing)
+	eventually(t, 10*time.Second, everywhere(1), "the leaf is known everywhere")
+	announce(sources[1], "a", 2, samphirepass.LeafDraining)
+	eventually(t, time.Second, everywhere(0), "the drain is known everywhere at once")
+	for _, s := range sources {
+		s.state.set(7, 0)
+	}
+	eventually(t, time.Second, func() bool { return entries[0].version() == 7 && entries[1].version() == 7 }, "the routing is known everywhere at once")
+	eventually(t, 5*time.Second, func() bool { return entries[0].Entries() == 2 }, "the entries are counted")
+}
+
+// TestStaleSourceIsLeft lets the source in the entry's own data centre fall behind without knowing what it misses.
+func TestStaleSourceIsLeft(t *testing.T) {
+	sources := startSources(t, 3)
+	e := startEntry(t, "e1", sources)
+	eventually(t, 10*time.Second, e.InTouch, "the entry meets a source")
+	sources[0].state.set(5, 60_000)
+	sources[1].state.set(6, 60_000)
+	sources[2].state.set(9, 0)
+	eventually(t, 5*time.Second, func() bool { return e.version() == 9 }, "the entry finds the source that hears of a leader")
+	require.True(t, e.InTouch())
+}
+
+// TestRoutingNeverGoesBack has sources hand out documents of different ages.
+func TestRoutingNeverGoesBack(t *testing.T) {
+	sources := startSources(t, 2)
+	e := startEntry(t, "e1", sources)
+	for v := samphirepass.RoutingVersion(1); v <= 40; v++ {
+		sources[v%2].state.set(v/2+1, 0)
+		time.Sleep(5 * time.Millisecond)
+	}
+	eventually(t, 5*time.Second, func() bool { return e.version() == 21 }, "the newest document arrives")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := 1; i < len(e.versions); i++ {
+		require.Greater(t, e.versions[i], e.versions[i-1])
+	}
+}
+
+// TestSilentSource makes the connections to one source give nothing more, without an end.
+func TestSilentSource(t *testing.T) {
+	sources := startSources(t, 3)
+	e := startEntry(t, "e1", sources)
+	eventually(t, 10*time.Second, e.InTouch, "the entry meets a source")
+	eventually(t, 10*time.Second, func() bool {
+		return len(e.Addresses()) == 3 && len(sources[1].follower.Addresses()) == 2 && len(sources[2].follower.Addresses()) == 2
+	}, "all have learned of each other")
+	sources[0].relay.SetAll(standin.LinkSilent)
+	announce(sources[1], "b", 1, samphirepass.LeafServing)
+	eventually(t, 4*time.Second, func() bool { return len(e.registry.Serving("desk")) == 1 }, "another source tells the news")
+}
+
+// TestEntriesAreNotForgottenAtOnce cuts all sources: shares of limits must not grow from that.
+func TestEntriesAreNotForgottenAtOnce(t *testing.T) {
+	sources := startSources(t, 2)
+	a, b := startEntry(t, "e1", sources), startEntry(t, "e2", sources)
+	eventually(t, 10*time.Second, func() bool { return a.Entries() == 2 && b.Entries() == 2 }, "the entries are counted")
+	for _, s := range sources {
+		s.relay.SetAll(standin.LinkCut)
+	}
+	time.Sleep(500 * time.Millisecond)
+	require.Equal(t, 2, a.Entries())
+	eventually(t, 5*time.Second, func() bool { return !a.InTouch() }, "the entry notices that it is out of touch")
+}
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -296,6 +296,13 @@
 	return c.stale && f.o.Control == "" && f.otherLocked()
 }
 
+// Meet takes in a process of control that was met in another way.
+func (f *Follower) Meet(c Contact) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.learnLocked(c, f.o.Clock.Now())
+}
+
 func (f *Follower) learnLocked(one Contact, now samphirepass.Millis) {
 	if one.Address == "" || one.Address == f.o.Control {
 		return
--- a/directory/source.go
+++ b/directory/source.go
@@ -53,6 +53,8 @@
 	Registry *leaf.Registry
 	State    State
 	Clock    samphirepass.Clock
+	// Met is told of each process of control that asks; it may be nil.
+	Met func(Contact)
 }
 
 // Source answers followers; it is safe for concurrent use.
@@ -108,6 +110,9 @@
 }
 
 func (s *Source) note(req followRequest) {
+	if req.Control != "" && s.o.Met != nil {
+		s.o.Met(Contact{Address: req.Control, DataCentre: req.DataCentre})
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := followerKey{vm: req.VM, control: req.Control}
