policy: Bound the hedge delay by a third of the route's target

Cause: where more than a tenth of the leaves are slow, the quantile lies among the slow answers and a second attempt comes too late.

--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -14,9 +14,8 @@
 	lingerMs samphirepass.Millis = 400
 	// goneLingerMs is the same once the client has gone, when a leaf's work is of use to nobody.
 	goneLingerMs samphirepass.Millis = 150
-	// priorPart of a route's target is when a shard counts as late before enough answers were measured:
-	// a second attempt and the merge still fit into the rest.
-	priorPart = 3
+	// hedgePart of a route's target is when a shard counts as late at the latest: a second attempt and the merge still fit into the rest.
+	hedgePart = 3
 	// shareTolerance keeps rounding from asking for one shard more than the declared share.
 	shareTolerance = 1e-9
 )
@@ -101,7 +100,7 @@
 	defer d.mu.Unlock()
 	h := d.hedgers[route.Name]
 	if h == nil {
-		h = policy.NewQuantile(d.percent).WithPrior(route.TargetMs / priorPart)
+		h = policy.NewQuantile(d.percent).WithCeiling(route.TargetMs / hedgePart)
 		d.hedgers[route.Name] = h
 	}
 	return h
--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -15,6 +15,8 @@
 	hedgeMaxPercent = 10
 	// medianFactor bounds the delay where so many requests straggle that the quantile lies among them.
 	medianFactor = 3
+	// ceilingMedians times the median is the least that a ceiling may bound the delay to.
+	ceilingMedians = 1.5
 	// hedgeWindow is the number of observations after which the older half of them is dropped.
 	hedgeWindow = 2000
 	// hedgeMinimum is the number of observations below which nothing counts as late.
@@ -38,8 +40,8 @@
 type Quantile struct {
 	// late is the share of leaf requests, in percent, that count as late.
 	late float64
-	// prior is the delay before there are enough observations, 0 for none.
-	prior samphirepass.Millis
+	// ceiling bounds the delay, and is the delay before there are enough observations; 0 for none.
+	ceiling samphirepass.Millis
 
 	mu sync.Mutex
 	// last is filled, then takes the place of previous.
@@ -57,9 +59,11 @@
 	return &Quantile{late: late, last: newHistogram(), previous: newHistogram()}
 }
 
-// WithPrior makes the hedger wait for the given time up until it has enough observations, and returns it.
-func (q *Quantile) WithPrior(prior samphirepass.Millis) *Quantile {
-	q.prior = prior
+// WithCeiling bounds the delay by the given time, from the first request on, and returns the hedger.
+// Where so many leaves are slow that the quantile lies among them, a second attempt after it would come too late to be of use.
+// A median near the ceiling raises it: where all requests take long, earlier second attempts would only add to the load.
+func (q *Quantile) WithCeiling(ceiling samphirepass.Millis) *Quantile {
+	q.ceiling = ceiling
 	return q
 }
 
@@ -96,6 +100,9 @@
 		return samphirepass.Millis(both.ValueAtQuantile(percent)) / microsPerMilli
 	}
 	q.delay = min(at(100-q.late), max(at(50)*medianFactor, at(100-hedgeMaxPercent)))
+	if q.ceiling > 0 {
+		q.delay = min(q.delay, max(q.ceiling, at(50)*ceilingMedians))
+	}
 }
 
 // Delay returns the quantile, once there are enough observations.
@@ -104,7 +111,7 @@
 	defer q.mu.Unlock()
 	delay := q.delay
 	if delay == 0 {
-		delay = q.prior
+		delay = q.ceiling
 	}
 	return delay, delay > 0 && q.late > 0
 }
