--- a/control/node.go
+++ b/control/node.go
@@ -81,6 +81,8 @@
 	members quorum.Members
 	// contacts are the peer addresses of other processes of control that this one has learned of.
 	contacts map[string]samphirepass.VM
+	// belief is the role, term and leader that were logged last.
+	belief string
 	// leaderAge is the time since a leader was last heard of, leader the last known one.
 	leaderAge samphirepass.Millis
 	leader    quorum.Member
@@ -179,6 +181,10 @@
 func (n *Node) observeCore(c *quorum.Core) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if belief := fmt.Sprintf("%s in term %d, leader %q", c.Role(), c.Term(), c.Leader()); belief != n.belief {
+		n.belief = belief
+		n.o.Log("Member is %s; commit %d, last %d, %d voters.", belief, c.Commit(), c.Last(), c.Members().Voters())
+	}
 	n.members = c.Members()
 	n.leaderAge = unknownLeaderMs
 	n.leader = quorum.Member{}
