--- a/control/handshake.go
+++ b/control/handshake.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"sync"
 	"time"
 
 	"samphirepass"
@@ -25,7 +24,9 @@
 // handshake introduces the disk to the other members until it is safe to take part; it reports whether to bootstrap.
 func (n *Node) handshake(ctx context.Context, core *quorum.Core) (bool, error) {
 	for {
-		replies := n.helloAll(ctx, core.Members())
+		replies := n.helloAll(ctx, core.Members(), func(replies []helloReply) bool {
+			return core.Initialised() && n.majorityIn(core.Members(), replies)
+		})
 		old := ahead(replies, core)
 		if old && led(replies) {
 			return false, errOldDisk
@@ -153,31 +154,38 @@
 	return quorum.Member{}
 }
 
-func (n *Node) helloAll(ctx context.Context, members quorum.Members) []helloReply {
+// helloAll asks all others at once and returns what came back: all of it, or what there was when enough said so.
+func (n *Node) helloAll(ctx context.Context, members quorum.Members, enough func([]helloReply) bool) []helloReply {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeoutMs.Duration())
 	defer cancel()
 	n.mu.Lock()
 	req := helloRequest{VM: n.o.VM, Address: n.o.Address, Disk: n.identity.Disk}
 	n.mu.Unlock()
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	var out []helloReply
-	for _, m := range n.others(members) {
-		wg.Add(1)
+	others := n.others(members)
+	results := make(chan *helloReply, len(others))
+	for _, m := range others {
 		go func() {
-			defer wg.Done()
 			var reply helloReply
 			if err := n.o.Peers.Get(m.Address).Call(ctx, kindHello, req, &reply); err != nil {
+				results <- nil
 				return
 			}
 			reply.address = m.Address
 			n.learnContacts(append(slices.Clone(reply.Members), quorum.Member{VM: reply.VM, Address: m.Address}))
-			mu.Lock()
-			defer mu.Unlock()
-			out = append(out, reply)
+			results <- &reply
 		}()
 	}
-	wg.Wait()
+	var out []helloReply
+	for range others {
+		reply := <-results
+		if reply == nil {
+			continue
+		}
+		out = append(out, *reply)
+		if enough != nil && enough(out) {
+			break
+		}
+	}
 	return out
 }
 
@@ -191,7 +199,7 @@
 		// A member that was removed while it was away hears of no leader.
 		_, age := n.Leader()
 		if m, _ := s.Members.Find(n.o.VM); !m.Voter || m.Disk != s.Disk || (n.open() && age > lostLeaderMs) {
-			n.helloAll(ctx, s.Members)
+			n.helloAll(ctx, s.Members, nil)
 		}
 		select {
 		case <-time.After(introduceEveryMs.Duration()):
--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -188,6 +188,9 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	tree := suture.New("registrar", suture.Spec{EventHook: func(ev suture.Event) { log.Errorf("Supervisor: %s.", ev) }})
+	if r.cfg.DataFolder != "" {
+		r.keepLeaves(tree)
+	}
 	for _, s := range []suture.Service{r.follower, forgetter{r.registry}, r.api, r.peerHTTP, r.figures} {
 		tree.Add(s)
 	}
@@ -216,6 +219,19 @@
 	return nil
 }
 
+// keepLeaves takes in the leaves that the disk holds and keeps what changes.
+func (r *Registrar) keepLeaves(tree *suture.Supervisor) {
+	log := r.log.For("directory")
+	folder, err := disk.OpenFolder(r.cfg.DataFolder)
+	if err != nil {
+		log.Errorf("Leaves are not kept: %v.", err)
+		return
+	}
+	keeper := directory.NewKeeper(folder, r.registry, log.Infof)
+	keeper.Load()
+	tree.Add(keeper)
+}
+
 // keepMember runs the member of the log, if there is a disk, and opens it anew after a fault of the disk.
 func (r *Registrar) keepMember(ctx context.Context) {
 	log := r.log.For("control")
--- /dev/null
+++ b/directory/keeper.go
@@ -0,0 +1,118 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"samphirepass"
+	"samphirepass/cbor"
+	"samphirepass/leaf"
+)
+
+const (
+	keptName      = "leaves"
+	keptTemporary = "leaves-new"
+	// keepEveryMs bounds how often the leaves are written; a change is written at once if the last one is longer ago.
+	keepEveryMs samphirepass.Millis = 500
+)
+
+// Keeper keeps the known leaves on a disk, so that requests are served again at once after all processes of control stopped
+// together, and not only when each leaf has sent its next heartbeat. What it reads is a hint: a request names its leaf,
+// and a leaf that gives no sign of life is soon called silent.
+type Keeper struct {
+	files    samphirepass.Files
+	registry *leaf.Registry
+	log      func(format string, args ...any)
+	failing  bool
+}
+
+// NewKeeper returns a keeper of what registry holds.
+func NewKeeper(files samphirepass.Files, registry *leaf.Registry, log func(format string, args ...any)) *Keeper {
+	return &Keeper{files: files, registry: registry, log: log}
+}
+
+// Load takes in the leaves that were kept; it is called before the registry hears of any.
+func (k *Keeper) Load() {
+	names, err := k.files.List()
+	if err != nil || !slices.Contains(names, keptName) {
+		k.log("No leaves are kept (error: %v).", err)
+		return
+	}
+	data, err := k.files.Read(keptName)
+	var leaves []leaf.Heard
+	if err == nil {
+		err = cbor.Unmarshal(data, &leaves)
+	}
+	if err != nil {
+		// A torn file is as good as none: heartbeats tell the same a little later.
+		k.log("Kept leaves cannot be read: %v.", err)
+		return
+	}
+	for _, h := range leaves {
+		k.registry.Hear(h.Announcement, min(h.AgeMs, leaf.SilentMs/2), false)
+	}
+	k.log("%d kept leaves are known until their heartbeats say otherwise.", len(leaves))
+}
+
+// Serve writes changes until ctx ends.
+func (k *Keeper) Serve(ctx context.Context) error {
+	version := uint64(0)
+	for {
+		select {
+		case <-k.registry.Changed(version):
+		case <-ctx.Done():
+			return fmt.Errorf("keep leaves: %w", ctx.Err())
+		}
+		all, now := k.registry.ChangesSince(0)
+		version = now
+		k.note(k.write(all))
+		select {
+		case <-time.After(keepEveryMs.Duration()):
+		case <-ctx.Done():
+			return fmt.Errorf("keep leaves: %w", ctx.Err())
+		}
+	}
+}
+
+// note logs the first failure of a row, and its end.
+func (k *Keeper) note(err error) {
+	if (err != nil) == k.failing {
+		return
+	}
+	k.failing = err != nil
+	if err != nil {
+		k.log("Leaves cannot be kept: %v.", err)
+		return
+	}
+	k.log("Leaves are kept again.")
+}
+
+func (k *Keeper) write(leaves []leaf.Heard) error {
+	data, err := cbor.Marshal(leaves)
+	if err != nil {
+		return fmt.Errorf("encode leaves: %w", err)
+	}
+	f, err := k.files.Append(keptTemporary)
+	if err != nil {
+		return fmt.Errorf("open file of leaves: %w", err)
+	}
+	defer f.Close()
+	if err := f.Truncate(0); err != nil {
+		return fmt.Errorf("empty file of leaves: %w", err)
+	}
+	if _, err := f.Write(data); err != nil {
+		return fmt.Errorf("write leaves: %w", err)
+	}
+	if err := f.Sync(); err != nil {
+		return fmt.Errorf("sync leaves: %w", err)
+	}
+	if err := k.files.Rename(keptTemporary, keptName); err != nil {
+		return fmt.Errorf("rename file of leaves: %w", err)
+	}
+	if err := k.files.SyncFolder(); err != nil {
+		return fmt.Errorf("sync folder of leaves: %w", err)
+	}
+	return nil
+}
