--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -44,7 +44,7 @@
 // comes to each leaf from each entry.
 func (s routingShares) picked(a samphirepass.Announcement, each float64) bool {
 	leaves := s.g.registry.Serving(a.Service)
-	keep := max(int(math.Floor(each*float64(len(leaves)))), leastLeaves)
+	keep := max(wholeNumber(each*float64(len(leaves)), string(s.g.cfg.VM)+"/"+string(a.Service)), leastLeaves)
 	if keep >= len(leaves) {
 		return true
 	}
@@ -52,6 +52,15 @@
 	return slices.ContainsFunc(leaves[:keep], func(k leaf.Known) bool { return k.Leaf == a.Leaf })
 }
 
+// wholeNumber rounds x up or down by a draw that is the same for equal keys, so that over many keys the mean is x.
+func wholeNumber(x float64, key string) int {
+	whole := math.Floor(x)
+	if float64(xxhash.Sum64String(key)) < (x-whole)*math.MaxUint64 {
+		whole++
+	}
+	return int(whole)
+}
+
 // rank orders leaves for this entry: its own data centre's first, each entry in an order of its own.
 func (s routingShares) rank(a samphirepass.Announcement) uint64 {
 	rank := xxhash.Sum64String(string(s.g.cfg.VM)+"/"+string(a.Leaf)) >> 1
