--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -16,7 +16,7 @@
 	// patienceFactor times a route's target is how long an answer that is late already waits to become whole.
 	patienceFactor = 1
 	// startMs is the time in which an entry usually learns the routing after its start, also where all of control starts with it.
-	startMs samphirepass.Millis = 1200
+	startMs samphirepass.Millis = 700
 	// retryNoRoutingMs is when a client may come back if the start takes longer.
 	retryNoRoutingMs samphirepass.Millis = 300
 	// retryNoLeafMs is when a client may come back while too few leaves are known; discovery takes about as long.
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -13,6 +13,9 @@
 	latencyWeight = 0.2
 	// networkWeight is the weight of a new figure in the moving mean of the network's share.
 	networkWeight = 0.1
+	// usualAnswers is the number of answers that a leaf's usual latency is the median of: a pause spoils one or two of them
+	// before new requests go elsewhere, a leaf that has turned slow spoils all.
+	usualAnswers = 5
 	// shedLoad is the load of a leaf that refuses work.
 	shedLoad = 2.0
 )
@@ -28,6 +31,8 @@
 	inFlight int
 	// begun holds when each attempt under way began, the oldest first.
 	begun []samphirepass.Millis
+	// recent holds the latencies of the last answers, the oldest first.
+	recent []samphirepass.Millis
 	// observedAt is when latency last changed.
 	observedAt samphirepass.Millis
 	latency    samphirepass.Millis
@@ -132,6 +137,7 @@
 		Load: t.load, LoadAgeMs: now - t.loadAt, WarmMs: now - k.FirstMs, Failures: t.failures,
 		SinceFailureMs: now - t.failedAt, ColdMs: max(k.ColdMs-(now-k.HeardMs), 0),
 	}
+	c.UsualMs = median(t.recent)
 	if t.observedAt > 0 {
 		c.LatencyAgeMs = now - t.observedAt
 	}
@@ -176,6 +182,10 @@
 
 func (t *target) observe(now, took samphirepass.Millis) {
 	t.observedAt = now
+	if len(t.recent) == usualAnswers {
+		t.recent = t.recent[1:]
+	}
+	t.recent = append(t.recent, took)
 	if t.latency == 0 {
 		t.latency = took
 		return
@@ -207,6 +217,17 @@
 	}
 }
 
+// median returns the lower median, 0 of nothing.
+func median(latencies []samphirepass.Millis) samphirepass.Millis {
+	if len(latencies) == 0 {
+		return 0
+	}
+	var sorted [usualAnswers]samphirepass.Millis
+	n := copy(sorted[:], latencies)
+	slices.Sort(sorted[:n])
+	return sorted[(n-1)/2]
+}
+
 func (t *target) meanLatency() samphirepass.Millis {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/policy.go
+++ b/policy.go
@@ -22,6 +22,8 @@
 	SinceFailureMs Millis
 	// OldestMs is the age of the oldest attempt of this entry that the leaf has not answered, 0 if there is none.
 	OldestMs Millis
+	// UsualMs is the median of the leaf's last few answers, 0 before the first: a pause now and then does not sway it.
+	UsualMs Millis
 	// LatencyAgeMs is the time since LatencyMs last changed.
 	LatencyAgeMs Millis
 	// ColdMs is how much longer the leaf stays slow after its start, by its own word.
--- a/policy/stall.go
+++ b/policy/stall.go
@@ -53,8 +53,8 @@
 func medianLatency(candidates []samphirepass.Candidate) samphirepass.Millis {
 	known := make([]samphirepass.Millis, 0, len(candidates))
 	for _, c := range candidates {
-		if c.LatencyMs > 0 {
-			known = append(known, c.LatencyMs)
+		if c.UsualMs > 0 {
+			known = append(known, c.UsualMs)
 		}
 	}
 	if len(known) == 0 {
@@ -93,9 +93,9 @@
 
 // faded returns a leaf's latency, drawn towards the typical one as the figure ages.
 func faded(c samphirepass.Candidate, typical samphirepass.Millis) samphirepass.Millis {
-	if c.LatencyMs == 0 {
+	if c.UsualMs == 0 {
 		return typical
 	}
 	weight := samphirepass.Millis(math.Exp(-float64(c.LatencyAgeMs / fadeMs)))
-	return typical + (c.LatencyMs-typical)*weight
+	return typical + (c.UsualMs-typical)*weight
 }
--- a/policy/stall_test.go
+++ b/policy/stall_test.go
@@ -11,8 +11,8 @@
 
 // TestSteadyChoice names the load pattern of each row: which leaf a request goes to.
 func TestSteadyChoice(t *testing.T) {
-	near := samphirepass.Candidate{Leaf: "near", SameCentre: true, Slots: 3, LatencyMs: 20, Share: 3}
-	far := samphirepass.Candidate{Leaf: "far", Slots: 3, LatencyMs: 20, Share: 3}
+	near := samphirepass.Candidate{Leaf: "near", SameCentre: true, Slots: 3, UsualMs: 20, Share: 3}
+	far := samphirepass.Candidate{Leaf: "far", Slots: 3, UsualMs: 20, Share: 3}
 	with := func(c samphirepass.Candidate, f func(*samphirepass.Candidate)) samphirepass.Candidate {
 		f(&c)
 		return c
@@ -24,8 +24,8 @@
 		"own data centre first": {near, far, "near"},
 		"paused leaf last":      {with(near, func(c *samphirepass.Candidate) { c.InFlight, c.OldestMs = 1, 80 }), far, "far"},
 		"busy is not paused":    {with(near, func(c *samphirepass.Candidate) { c.InFlight, c.OldestMs = 1, 30 }), far, "near"},
-		"slow leaf":             {with(near, func(c *samphirepass.Candidate) { c.LatencyMs = 150 }), far, "far"},
-		"slow a while ago":      {with(near, func(c *samphirepass.Candidate) { c.LatencyMs, c.LatencyAgeMs = 150, 20_000 }), far, "near"},
+		"slow leaf":             {with(near, func(c *samphirepass.Candidate) { c.UsualMs = 150 }), far, "far"},
+		"slow a while ago":      {with(near, func(c *samphirepass.Candidate) { c.UsualMs, c.LatencyAgeMs = 150, 20_000 }), far, "near"},
 		"failing leaf":          {with(near, func(c *samphirepass.Candidate) { c.Failures, c.SinceFailureMs = 3, 10 }), far, "far"},
 		"cold leaf":             {with(near, func(c *samphirepass.Candidate) { c.ColdMs = 3000 }), far, "far"},
 		"no connection is free": {with(near, func(c *samphirepass.Candidate) { c.InFlight = 3 }), far, "far"},
@@ -33,7 +33,7 @@
 			with(near, func(c *samphirepass.Candidate) { c.Failures, c.SinceFailureMs = 3, 10 }),
 			with(far, func(c *samphirepass.Candidate) { c.InFlight, c.OldestMs = 1, 80 }), "far",
 		},
-		"unknown leaf counts as a usual one": {with(near, func(c *samphirepass.Candidate) { c.LatencyMs = 0 }), far, "near"},
+		"unknown leaf counts as a usual one": {with(near, func(c *samphirepass.Candidate) { c.UsualMs = 0 }), far, "near"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
