--- a/control/open_test.go
+++ b/control/open_test.go
@@ -72,40 +72,46 @@
 
 func voters(m *openMember) int { return m.node.Members().Voters() }
 
-// putRouting retries until the document is acknowledged.
-func putRouting(t *testing.T, version samphirepass.RoutingVersion, seeds []string) {
+func newClient(t *testing.T, addresses []string) *control.Client {
 	t.Helper()
-	members := make(quorum.Members, len(seeds))
-	for i, s := range seeds {
-		members[i].Address = s
+	members := make(quorum.Members, len(addresses))
+	for i, a := range addresses {
+		members[i].Address = a
 	}
 	peers := &peer.Pool{}
-	defer peers.Close()
-	c := control.NewClient(members, peers)
+	t.Cleanup(peers.Close)
+	return control.NewClient(members, peers)
+}
+
+// until repeats a call of at most a second until it succeeds.
+func until(t *testing.T, call func(ctx context.Context) error) {
+	t.Helper()
 	require.Eventually(t, func() bool {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		return c.PutRouting(ctx, samphirepass.RoutingDocument{Version: version, Source: []byte(fmt.Sprint(version))}) == nil
+		return call(ctx) == nil
 	}, 20*time.Second, 20*time.Millisecond)
 }
 
-func readRouting(t *testing.T, seeds []string) samphirepass.RoutingDocument {
+// putRouting retries until the document is acknowledged.
+func putRouting(t *testing.T, version samphirepass.RoutingVersion, addresses []string) {
 	t.Helper()
-	members := make(quorum.Members, len(seeds))
-	for i, s := range seeds {
-		members[i].Address = s
-	}
-	peers := &peer.Pool{}
-	defer peers.Close()
-	c := control.NewClient(members, peers)
+	c := newClient(t, addresses)
+	until(t, func(ctx context.Context) error {
+		return c.PutRouting(ctx, samphirepass.RoutingDocument{Version: version, Source: []byte(fmt.Sprint(version))})
+	})
+}
+
+// readRouting retries until the newest document is confirmed.
+func readRouting(t *testing.T, addresses []string) samphirepass.RoutingDocument {
+	t.Helper()
+	c := newClient(t, addresses)
 	var d samphirepass.RoutingDocument
-	require.Eventually(t, func() bool {
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		defer cancel()
+	until(t, func(ctx context.Context) error {
 		var err error
 		d, err = c.Routing(ctx)
-		return err == nil
-	}, 20*time.Second, 20*time.Millisecond)
+		return err
+	})
 	return d
 }
 
@@ -159,7 +165,7 @@
 	for i, a := range seeds {
 		startOpen(t, fmt.Sprintf("vm-%d", i), a, "", seeds, false)
 	}
-	c := control.NewClient(quorum.Members{{Address: seeds[0]}, {Address: seeds[1]}}, &peer.Pool{})
+	c := newClient(t, seeds)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	require.Error(t, c.PutRouting(ctx, samphirepass.RoutingDocument{Version: 1}))
--- a/exchange.go
+++ b/exchange.go
@@ -30,6 +30,7 @@
 // LeafAnswer is what a leaf answered to a passed-on request, to be given to the client unchanged.
 type LeafAnswer struct {
 	Status int
+	// Header is as the leaf sent it, with the headers of its connection.
 	Header http.Header
 	// Signature is the leaf's own mark on its answer, empty if it made none.
 	Signature string
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -36,7 +36,8 @@
 	partial   bool
 	reply     samphirepass.Reply
 	items     []samphirepass.Item
-	cancels   []context.CancelCauseFunc
+	// cancels cut attempts off one by one, where they are not left to end by themselves.
+	cancels []context.CancelCauseFunc
 }
 
 // fleet is what an entry sends attempts with.
@@ -217,8 +218,12 @@
 	s.started = f.clock.Now()
 	s.hedgeFrom = s.started
 	f.attempts++
-	ctx, cancel := context.WithCancelCause(f.attemptCtx)
-	s.cancels = append(s.cancels, cancel)
+	ctx := f.attemptCtx
+	if f.linger == 0 {
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		s.cancels = append(s.cancels, cancel)
+	}
 	go f.send(ctx, shard, k, f.attempt(shard))
 	return true
 }
@@ -286,10 +291,8 @@
 	if s.running > 0 {
 		f.hedger.Observe(f.clock.Now() - s.started)
 	}
-	if s.running == 0 || f.linger == 0 {
-		for _, cancel := range s.cancels {
-			cancel(samphirepass.ErrBeaten)
-		}
+	for _, cancel := range s.cancels {
+		cancel(samphirepass.ErrBeaten)
 	}
 	f.open--
 	if f.halfMs == 0 && f.open <= len(f.shards)/2 {
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -20,11 +20,17 @@
 	pool     *Pool
 	protocol samphirepass.LeafProtocol
 	clock    samphirepass.Clock
+	// probes is set where the protocol can tell whether an idle connection is alive.
+	probes bool
 }
 
+// anyAddress stands for a leaf where only the protocol is asked about.
+const anyAddress = "127.0.0.1:1"
+
 // NewSender returns a sender over pool that speaks the given protocol.
 func NewSender(pool *Pool, protocol samphirepass.LeafProtocol, clock samphirepass.Clock) *Sender {
-	return &Sender{pool: pool, protocol: protocol, clock: clock}
+	probe, err := protocol.Probe(context.Background(), anyAddress)
+	return &Sender{pool: pool, protocol: protocol, clock: clock, probes: err == nil && probe != nil}
 }
 
 // Send sends one attempt on one connection, once: nothing below repeats it or follows a redirect.
@@ -90,9 +96,10 @@
 }
 
 func (s *Sender) exchange(ctx context.Context, t *target, one *lane, to samphirepass.Announcement, a samphirepass.Attempt) (samphirepass.Reply, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	if one.usedMs > 0 && a.Key == "" {
+	if s.probes && one.usedMs > 0 && a.Key == "" {
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		defer cancel(nil)
 		defer s.watchSilence(ctx, cancel, t).Stop()
 	}
 	left := max(a.DeadlineMs-t.networkShare(), 0)
--- a/shell/node.go
+++ b/shell/node.go
@@ -48,25 +48,35 @@
 	}()
 }
 
-type gatewayCommand struct {
-	nodeOptions
+// daemonProcess is a process that runs until its context ends.
+type daemonProcess interface {
+	Run(ctx context.Context) error
 }
 
-// Execute runs a gateway until it is told to stop.
-func (c *gatewayCommand) Execute([]string) error {
-	cfg, err := c.read(settings.RoleGateway)
+// run starts the daemon of a role from the settings and runs it until it is told to stop.
+func (o nodeOptions) run(role settings.Role, start func(settings.Node, logs.Logger) (daemonProcess, error)) error {
+	cfg, err := o.read(role)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := untilSignal()
 	defer cancel()
 	log := logs.New(string(cfg.VM))
-	c.reloads(ctx, cfg.Role, log.For("settings"))
-	g, err := daemon.NewGateway(cfg, log)
+	o.reloads(ctx, role, log.For("settings"))
+	d, err := start(cfg, log)
 	if err != nil {
-		return fmt.Errorf("start gateway: %w", err)
+		return fmt.Errorf("start %s: %w", role, err)
 	}
-	return g.Run(ctx)
+	return d.Run(ctx)
+}
+
+type gatewayCommand struct {
+	nodeOptions
+}
+
+// Execute runs a gateway until it is told to stop.
+func (c *gatewayCommand) Execute([]string) error {
+	return c.run(settings.RoleGateway, func(cfg settings.Node, log logs.Logger) (daemonProcess, error) { return daemon.NewGateway(cfg, log) })
 }
 
 type registrarCommand struct {
@@ -75,17 +85,5 @@
 
 // Execute runs a registrar until it is told to stop.
 func (c *registrarCommand) Execute([]string) error {
-	cfg, err := c.read(settings.RoleRegistrar)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := untilSignal()
-	defer cancel()
-	log := logs.New(string(cfg.VM))
-	c.reloads(ctx, cfg.Role, log.For("settings"))
-	r, err := daemon.NewRegistrar(cfg, log)
-	if err != nil {
-		return fmt.Errorf("start registrar: %w", err)
-	}
-	return r.Run(ctx)
+	return c.run(settings.RoleRegistrar, func(cfg settings.Node, log logs.Logger) (daemonProcess, error) { return daemon.NewRegistrar(cfg, log) })
 }
