--- a/leaf/deliver_test.go
+++ b/leaf/deliver_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -179,9 +180,9 @@
 	once := routed
 	once.Kind = samphirepass.AtMostOnce
 	once.Services = []samphirepass.WeightedService{{Service: service(0), Weight: 1}}
-	slow := false
+	var slow atomic.Bool
 	s := &scripted{answer: func(ctx context.Context, _ samphirepass.Leaf, _ int, _ samphirepass.Attempt) (samphirepass.Reply, error) {
-		if slow {
+		if slow.Load() {
 			return hang(ctx)
 		}
 		return ok()
@@ -190,7 +191,7 @@
 	for range 200 {
 		run(d, delivery(once))
 	}
-	slow = true
+	slow.Store(true)
 	before := s.count("0-0") + s.count("0-1")
 	out, _ := run(d, delivery(once))
 	require.Equal(t, before+1, s.count("0-0")+s.count("0-1"))
@@ -231,9 +232,9 @@
 // TestLosersEndByThemselves hedges a slow leaf and checks that its attempt is not cut while it may still end.
 func TestLosersEndByThemselves(t *testing.T) {
 	ended := make(chan error, 1)
-	slow := false
+	var slow atomic.Bool
 	s := &scripted{answer: func(ctx context.Context, to samphirepass.Leaf, _ int, _ samphirepass.Attempt) (samphirepass.Reply, error) {
-		if slow && to == "0-0" {
+		if slow.Load() && to == "0-0" {
 			select {
 			case <-time.After(150 * time.Millisecond):
 				ended <- nil
@@ -247,7 +248,7 @@
 	for range 100 {
 		run(d, delivery(routed))
 	}
-	slow = true
+	slow.Store(true)
 	out, took := run(d, delivery(routed))
 	require.Equal(t, 3, out.Answered)
 	require.Less(t, took, 140*time.Millisecond)
