--- a/directory/follower.go
+++ b/directory/follower.go
@@ -35,6 +35,14 @@
 	touchMs samphirepass.Millis = 3000
 )
 
+// What makes a source a worse choice, in the high bits of its rank: the later ones count for more.
+const (
+	rankShift         = 8
+	rankFar    uint64 = 1 << 60
+	rankStale  uint64 = 1 << 61
+	rankFailed uint64 = 1 << 62
+)
+
 // FollowerOptions set up a Follower.
 type FollowerOptions struct {
 	VM         samphirepass.VM
@@ -194,15 +202,16 @@
 		if f.o.Control != "" && now-c.failed < avoidMs {
 			continue
 		}
-		rank := xxhash.Sum64String(string(f.o.VM)+address) >> 8
+		// Each follower has an order of its own, so that they spread over the sources.
+		rank := xxhash.Sum64String(string(f.o.VM)+address) >> rankShift
 		if near && c.centre != f.o.DataCentre {
-			rank |= 1 << 60
+			rank |= rankFar
 		}
 		if c.stale {
-			rank |= 1 << 61
+			rank |= rankStale
 		}
 		if now-c.failed < avoidMs {
-			rank |= 1 << 62
+			rank |= rankFailed
 		}
 		if best == "" || rank < least {
 			best, least = address, rank
