--- a/control/node.go
+++ b/control/node.go
@@ -215,9 +215,6 @@
 	return n.changed
 }
 
-// Halted returns a channel that is closed once the member has ended.
-func (n *Node) Halted() <-chan struct{} { return n.halted }
-
 func (n *Node) newLoop(store *disk.Store, loaded disk.Loaded) *loop {
 	first := 0
 	if n.open() {
--- a/leaf/changes.go
+++ b/leaf/changes.go
@@ -50,7 +50,7 @@
 	return out
 }
 
-// Report takes in which leaves a source of announcements calls silent; nil takes the source's report back.
+// Report takes in which leaves a source of announcements calls silent; present is false where the source is lost, which takes its report back.
 func (r *Registry) Report(source string, silent []samphirepass.Leaf, present bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
