leaf, policy: Spend less on each attempt, and compare leaves on one scale

Cause: on the grown sites a request asks 36 to 54 leaves from a fifth of a core. Each attempt cost a http.Transport with two goroutines, a probe of an empty body, and a look through all leaves for each shard (twice a request); second attempts went out at the 91st percentile, most of them beside first ones that answered in time by themselves, each from another data centre. A leaf's usual latency mixed quick and slow kinds of requests.

--- a/attempt.go
+++ b/attempt.go
@@ -16,6 +16,8 @@
 	Key RunKey
 	// DeadlineMs is the time that the leaf has, without the network's share.
 	DeadlineMs Millis
+	// ExpectedMs is how long requests of this kind usually take, on which a leaf's latencies are scaled; 0 if that is not known.
+	ExpectedMs Millis
 	Body       []byte
 	// Exchange is set for a client's request that is passed on unchanged, in place of Body.
 	Exchange *Exchange
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -15,13 +15,16 @@
 	if len(leaves) == 0 || s.spent >= f.course.attempts || len(s.tried) >= f.course.attempts+maxFreeRetries {
 		return false
 	}
-	k := leaves[f.choose(leaves)]
+	k := leaves[f.choose(leaves, f.expected)]
 	s.tried = append(s.tried, k.Leaf)
 	s.spent++
 	s.running++
 	s.started = f.clock.Now()
 	s.hedgeFrom = s.started
 	f.attempts++
+	if k.DataCentre != f.centre {
+		f.far++
+	}
 	ctx := f.attemptCtx
 	if f.linger == 0 {
 		var cancel context.CancelCauseFunc
@@ -32,11 +35,11 @@
 	return true
 }
 
-// choose returns the index of the leaf to send to.
-func (f *fleet) choose(leaves []Known) int {
+// choose returns the index of the leaf to send an attempt to that usually takes the expected time.
+func (f *fleet) choose(leaves []Known, expected samphirepass.Millis) int {
 	candidates := make([]samphirepass.Candidate, len(leaves))
 	for i, k := range leaves {
-		candidates[i] = f.pool.Candidate(k, f.centre)
+		candidates[i] = f.pool.Candidate(k, f.centre, expected)
 	}
 	return f.chooser.Choose(candidates)
 }
--- a/leaf/changes.go
+++ b/leaf/changes.go
@@ -56,8 +56,12 @@
 	defer r.mu.Unlock()
 	if !present {
 		delete(r.reports, source)
+		r.serving = nil
 		return
 	}
+	if had := r.reports[source]; had == nil || len(had) != len(silent) || slices.ContainsFunc(silent, func(name samphirepass.Leaf) bool { return !had[name] }) {
+		r.serving = nil
+	}
 	set := make(map[samphirepass.Leaf]bool, len(silent))
 	for _, name := range silent {
 		set[name] = true
@@ -66,16 +70,31 @@
 }
 
 // Serving returns the leaves of a service that may get work: they serve, and not all sources call them silent.
+// The slice is shared and must not be changed. Each request asks for all of its shards, so the answer is kept until something changes.
 func (r *Registry) Serving(service samphirepass.Service) []Known {
 	r.mu.RLock()
-	defer r.mu.RUnlock()
-	var out []Known
+	serving := r.serving
+	r.mu.RUnlock()
+	if serving == nil {
+		serving = r.indexServing()
+	}
+	return serving[service]
+}
+
+// indexServing sorts the leaves that may get work by service.
+func (r *Registry) indexServing() map[samphirepass.Service][]Known {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.serving != nil {
+		return r.serving
+	}
+	r.serving = map[samphirepass.Service][]Known{}
 	for name, k := range r.leaves {
-		if k.Service == service && k.State == samphirepass.LeafServing && !r.silentLocked(name) {
-			out = append(out, k)
+		if k.State == samphirepass.LeafServing && !r.silentLocked(name) {
+			r.serving[k.Service] = append(r.serving[k.Service], k)
 		}
 	}
-	return out
+	return r.serving
 }
 
 func (r *Registry) silentLocked(name samphirepass.Leaf) bool {
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -16,6 +16,9 @@
 	goneLingerMs samphirepass.Millis = 150
 	// hedgePart of a route's target is when a shard counts as late at the latest: a second attempt and the merge still fit into the rest.
 	hedgePart = 3
+	// expectedPart of a route's target stands for the usual time of a leaf request before it is known; without a target expectedMs does.
+	expectedPart                     = 8
+	expectedMs   samphirepass.Millis = 20
 	// shareTolerance keeps rounding from asking for one shard more than the declared share.
 	shareTolerance = 1e-9
 )
@@ -30,6 +33,8 @@
 	SettleMs samphirepass.Millis
 	// PatienceMs is how long an answer that is late already waits to become whole.
 	PatienceMs samphirepass.Millis
+	// LeastShards is the number of shards without which there is no answer, 0 if the route's share tells.
+	LeastShards int
 }
 
 // Least returns the number of shards without which there is no answer.
@@ -37,6 +42,9 @@
 	if !d.Route.Gathers() {
 		return 1
 	}
+	if d.LeastShards > 0 {
+		return d.LeastShards
+	}
 	return max(int(math.Ceil(d.Route.LeastShare*float64(len(d.Shards))-shareTolerance)), 1)
 }
 
@@ -44,6 +52,8 @@
 type Delivered struct {
 	// Replies has one element for each shard, nil where none came.
 	Replies []*samphirepass.Reply
+	// Merged is the answer over all shards where another entry collected it, in place of Replies.
+	Merged *samphirepass.GatheredAnswer
 	// Answered counts the replies, Known the shards for which a leaf was known.
 	Answered, Known int
 	// Least is the number of replies without which there is no answer.
@@ -57,6 +67,8 @@
 	MaybeRun bool
 	// Extra counts the hedges and retries, Attempts all leaf requests.
 	Extra, Attempts int
+	// Far counts the leaf requests that went to other data centres.
+	Far int
 	// HalfMs is the time after which half of the shards had been answered or given up.
 	HalfMs samphirepass.Millis
 	// Shed is set where shards lack because leaves refused work or the deadline passed.
@@ -100,12 +112,23 @@
 	defer d.mu.Unlock()
 	h := d.hedgers[route.Name]
 	if h == nil {
-		h = policy.NewQuantile(d.percent).WithCeiling(route.TargetMs / hedgePart)
+		h = policy.NewQuantile(d.percent).WithDue(route.TargetMs / hedgePart)
 		d.hedgers[route.Name] = h
 	}
 	return h
 }
 
+// usual returns how long a leaf usually takes for a request of a route.
+func usual(h samphirepass.Hedger, route samphirepass.Route) samphirepass.Millis {
+	if ms := h.Usual(); ms > 0 {
+		return ms
+	}
+	if route.TargetMs > 0 {
+		return route.TargetMs / expectedPart
+	}
+	return expectedMs
+}
+
 // Retain forgets what was measured of routes that are no longer there.
 func (d *Deliverer) Retain(routes []samphirepass.Route) {
 	there := make(map[samphirepass.RouteName]bool, len(routes))
@@ -124,7 +147,7 @@
 // serving returns the leaves of a service that this entry may send to: they serve, and it may hold connections to them.
 func (d *Deliverer) serving(s samphirepass.Service) []Known {
 	all := d.registry.Serving(s)
-	allowed := all[:0]
+	allowed := make([]Known, 0, len(all))
 	for _, k := range all {
 		if d.pool.allowed(k.Announcement) {
 			allowed = append(allowed, k)
@@ -153,6 +176,7 @@
 		attempts: max(one.Route.Attempts, 1), once: one.Route.Kind == samphirepass.AtMostOnce,
 		settle: one.SettleMs, patience: one.PatienceMs, least: one.Least(), linger: lingerMs, goneLinger: goneLingerMs,
 	}
+	c.expected = usual(c.hedger, one.Route)
 	out := Delivered{Least: c.least, Replies: make([]*samphirepass.Reply, len(one.Shards))}
 	for i, s := range one.Shards {
 		c.budgets[i] = d.budgets(s)
@@ -163,7 +187,7 @@
 	}
 	c.attempt = func(shard int) samphirepass.Attempt {
 		return samphirepass.Attempt{
-			Request: one.Request.ID, Service: one.Shards[shard], Exchange: &one.Request.Exchange, Once: c.once,
+			Request: one.Request.ID, Service: one.Shards[shard], Exchange: &one.Request.Exchange, Once: c.once, ExpectedMs: c.expected,
 			DeadlineMs: one.Request.DeadlineMs - (d.clock.Now() - began),
 		}
 	}
@@ -176,6 +200,7 @@
 	}
 	out.LastErr, out.LastLeaf = f.lastErr, f.lastLeaf
 	out.Answered, out.Failure, out.MaybeRun = f.answered, f.failure, f.maybeRun || f.running() > 0
+	out.Far = f.far
 	out.Extra, out.Attempts, out.HalfMs, out.Shed = f.extra, f.attempts, f.halfMs, f.shed && f.answered < len(f.shards)
 	return out
 }
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -54,6 +54,8 @@
 	hedger samphirepass.Hedger
 	// budgets has one element for each shard.
 	budgets []samphirepass.Budget
+	// expected is the usual time of an attempt, 0 if it is not known.
+	expected samphirepass.Millis
 	// attempts bounds the attempts on one shard that may cost a leaf work.
 	attempts int
 	// once is set where an attempt may follow another only if that one certainly did nothing.
@@ -91,10 +93,11 @@
 	results    chan result
 	timer      *time.Timer
 	// open counts the shards that may still be answered.
-	open, answered  int
-	halfMs          samphirepass.Millis
-	extra, attempts int
-	shed, retired   bool
+	open, answered int
+	halfMs         samphirepass.Millis
+	// far counts the attempts on leaves in other data centres.
+	extra, attempts, far int
+	shed, retired        bool
 	// late is set once the time to settle has passed without enough answers.
 	late bool
 	// maybeRun is set once an attempt failed that may have run.
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -1,6 +1,7 @@
 package leaf
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,11 @@
 	// usualAnswers is the number of answers that a leaf's usual latency is the median of: a pause spoils one or two of them
 	// before new requests go elsewhere, a leaf that has turned slow spoils all.
 	usualAnswers = 5
+	// failWeight is the weight of one finished attempt in the share of failed ones, failFadeMs the time in which that share fades by 1/e.
+	failWeight                     = 0.1
+	failFadeMs samphirepass.Millis = 5000
+	// unscaledMs stands for the expected time of attempts of an unknown kind.
+	unscaledMs samphirepass.Millis = 1
 	// shedLoad is the load of a leaf that refuses work.
 	shedLoad = 2.0
 )
@@ -29,10 +35,10 @@
 
 	mu       sync.Mutex
 	inFlight int
-	// begun holds when each attempt under way began, the oldest first.
-	begun []samphirepass.Millis
-	// recent holds the latencies of the last answers, the oldest first.
-	recent []samphirepass.Millis
+	// begun holds the attempts under way, the oldest first.
+	begun []begun
+	// recent holds the latencies of the last answers in multiples of what was expected, the oldest first.
+	recent []float64
 	// observedAt is when latency last changed.
 	observedAt samphirepass.Millis
 	latency    samphirepass.Millis
@@ -41,6 +47,22 @@
 	loadAt     samphirepass.Millis
 	failures   int
 	failedAt   samphirepass.Millis
+	// failRate is the share of failed attempts as of failRateAt.
+	failRate   float64
+	failRateAt samphirepass.Millis
+}
+
+// begun is one attempt under way.
+type begun struct {
+	at, expected samphirepass.Millis
+}
+
+// scale returns the time that latencies of a kind of attempt are multiples of.
+func scale(expected samphirepass.Millis) samphirepass.Millis {
+	if expected <= 0 {
+		return unscaledMs
+	}
+	return expected
 }
 
 // Shares tells how many connections this entry may hold.
@@ -127,8 +149,8 @@
 	b.Refresh(nil)
 }
 
-// Candidate describes a leaf to the chooser.
-func (b *Pool) Candidate(k Known, centre samphirepass.DataCentre) samphirepass.Candidate {
+// Candidate describes a leaf to the chooser, for an attempt that usually takes the expected time, 0 if that is not known.
+func (b *Pool) Candidate(k Known, centre samphirepass.DataCentre, expected samphirepass.Millis) samphirepass.Candidate {
 	t := b.target(k.Announcement)
 	now := b.clock.Now()
 	t.mu.Lock()
@@ -137,12 +159,13 @@
 		Load: t.load, LoadAgeMs: now - t.loadAt, WarmMs: now - k.FirstMs, Failures: t.failures,
 		SinceFailureMs: now - t.failedAt, ColdMs: max(k.ColdMs-(now-k.HeardMs), 0),
 	}
-	c.UsualMs = median(t.recent)
+	c.UsualMs = samphirepass.Millis(median(t.recent)) * scale(expected)
+	c.FailRate = t.failRateLocked(now)
 	if t.observedAt > 0 {
 		c.LatencyAgeMs = now - t.observedAt
 	}
-	if len(t.begun) > 0 {
-		c.OldestMs = now - t.begun[0]
+	for _, one := range t.begun {
+		c.OldestMs = max(c.OldestMs, (now-one.at)*scale(expected)/scale(one.expected))
 	}
 	t.mu.Unlock()
 	t.lanes.mu.Lock()
@@ -151,41 +174,41 @@
 	return c
 }
 
-func (t *target) start(now samphirepass.Millis) {
+func (t *target) start(one begun) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight++
-	t.begun = append(t.begun, now)
+	t.begun = append(t.begun, one)
 }
 
-// finish takes out the attempt that began at the given time.
-func (t *target) finish(began samphirepass.Millis) {
+func (t *target) finish(one begun) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight--
-	if i := slices.Index(t.begun, began); i >= 0 {
+	if i := slices.Index(t.begun, one); i >= 0 {
 		t.begun = slices.Delete(t.begun, i, i+1)
 	}
 }
 
-// succeed records an answer.
-func (t *target) succeed(now, took samphirepass.Millis, r samphirepass.Reply) {
+// succeed records an answer to an attempt of which the given time was expected.
+func (t *target) succeed(now, took, expected samphirepass.Millis, r samphirepass.Reply) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.failures = 0
 	t.load, t.loadAt = r.Load, now
-	t.observe(now, took)
+	t.observe(now, took, expected)
+	t.noteLocked(now, 0)
 	if outside := took - r.WorkedMs; outside > 0 {
 		t.network += (outside - t.network) * networkWeight
 	}
 }
 
-func (t *target) observe(now, took samphirepass.Millis) {
+func (t *target) observe(now, took, expected samphirepass.Millis) {
 	t.observedAt = now
 	if len(t.recent) == usualAnswers {
 		t.recent = t.recent[1:]
 	}
-	t.recent = append(t.recent, took)
+	t.recent = append(t.recent, float64(took/scale(expected)))
 	if t.latency == 0 {
 		t.latency = took
 		return
@@ -206,23 +229,37 @@
 	defer t.mu.Unlock()
 	t.failures++
 	t.failedAt = now
+	t.noteLocked(now, 1)
+}
+
+// noteLocked takes a finished attempt into the share of failed ones: 1 for a failure, 0 for an answer.
+func (t *target) noteLocked(now samphirepass.Millis, failed float64) {
+	rate := t.failRateLocked(now)
+	t.failRate, t.failRateAt = rate+(failed-rate)*failWeight, now
+}
+
+func (t *target) failRateLocked(now samphirepass.Millis) float64 {
+	if t.failRate == 0 {
+		return 0
+	}
+	return t.failRate * math.Exp(-float64((now-t.failRateAt)/failFadeMs))
 }
 
 // slow records that an attempt without an answer took longer than the given time.
-func (t *target) slow(now, took samphirepass.Millis) {
+func (t *target) slow(now, took, expected samphirepass.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if took > t.latency && t.latency > 0 {
-		t.observe(now, took)
+		t.observe(now, took, expected)
 	}
 }
 
 // median returns the lower median, 0 of nothing.
-func median(latencies []samphirepass.Millis) samphirepass.Millis {
+func median(latencies []float64) float64 {
 	if len(latencies) == 0 {
 		return 0
 	}
-	var sorted [usualAnswers]samphirepass.Millis
+	var sorted [usualAnswers]float64
 	n := copy(sorted[:], latencies)
 	slices.Sort(sorted[:n])
 	return sorted[(n-1)/2]
--- a/leaf/registry.go
+++ b/leaf/registry.go
@@ -73,6 +73,8 @@
 	digest  uint64
 	// changed is closed at the next change of the version; it is nil while nobody waits.
 	changed chan struct{}
+	// serving holds the leaves of each service that may get work; it is nil after a change of what it rests on.
+	serving map[samphirepass.Service][]Known
 }
 
 // NewRegistry returns an empty registry.
@@ -132,6 +134,7 @@
 // bumpLocked counts a change and wakes whoever waits for one.
 func (r *Registry) bumpLocked() {
 	r.version++
+	r.serving = nil
 	if r.changed != nil {
 		close(r.changed)
 		r.changed = nil
--- a/leaf/run.go
+++ b/leaf/run.go
@@ -19,7 +19,7 @@
 	if len(leaves) == 0 {
 		return Known{}, samphirepass.Attempt{}, samphirepass.Refuse(samphirepass.CodeUnavailable, "no leaf holds shard %d of snapshot %d", shard, plan.Snapshot)
 	}
-	k := leaves[g.choose(leaves)]
+	k := leaves[g.choose(leaves, 0)]
 	return k, samphirepass.Attempt{Service: service, Snapshot: plan.Snapshot, Shard: samphirepass.Shard(shard)}, nil
 }
 
--- a/policy.go
+++ b/policy.go
@@ -20,10 +20,14 @@
 	Failures int
 	// SinceFailureMs is the time since the last failed attempt.
 	SinceFailureMs Millis
-	// OldestMs is the age of the oldest attempt of this entry that the leaf has not answered, 0 if there is none.
+	// OldestMs is the age of the most overdue attempt of this entry that the leaf has not answered, 0 if there is none.
+	// Where that attempt is of a slower kind than the one to send, its age is scaled down to it.
 	OldestMs Millis
-	// UsualMs is the median of the leaf's last few answers, 0 before the first: a pause now and then does not sway it.
+	// UsualMs is the median of the leaf's last few answers, each scaled to the kind of attempt to send, 0 before the first:
+	// a pause now and then does not sway it, and neither does a mix of quick and slow kinds.
 	UsualMs Millis
+	// FailRate is the share of the leaf's lately finished attempts that failed, which fades with time.
+	FailRate float64
 	// LatencyAgeMs is the time since LatencyMs last changed.
 	LatencyAgeMs Millis
 	// ColdMs is how much longer the leaf stays slow after its start, by its own word.
@@ -44,6 +48,8 @@
 type Hedger interface {
 	// Observe records the time of one whole leaf request.
 	Observe(latency Millis)
+	// Usual returns the median time of a leaf request, 0 while too few are known.
+	Usual() Millis
 	// Delay returns the time after which a second attempt is worth its load, and whether one is wanted at all.
 	Delay() (Millis, bool)
 }
--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -15,8 +15,8 @@
 	hedgeMaxPercent = 10
 	// medianFactor bounds the delay where so many requests straggle that the quantile lies among them.
 	medianFactor = 3
-	// ceilingMedians times the median is the least that a ceiling may bound the delay to.
-	ceilingMedians = 1.5
+	// dueMedians times the median is the least delay.
+	dueMedians = 1.5
 	// hedgeWindow is the number of observations after which the older half of them is dropped.
 	hedgeWindow = 2000
 	// hedgeMinimum is the number of observations below which nothing counts as late.
@@ -33,20 +33,23 @@
 // Observe does nothing.
 func (NoHedge) Observe(samphirepass.Millis) {}
 
+// Usual knows nothing.
+func (NoHedge) Usual() samphirepass.Millis { return 0 }
+
 // Delay wants no hedge.
 func (NoHedge) Delay() (samphirepass.Millis, bool) { return 0, false }
 
-// Quantile calls a shard late once it has taken longer than nearly all recent leaf requests.
+// Quantile calls a shard late once it has taken longer than nearly all recent leaf requests, or at the time that it is told.
 type Quantile struct {
 	// late is the share of leaf requests, in percent, that count as late.
 	late float64
-	// ceiling bounds the delay, and is the delay before there are enough observations; 0 for none.
-	ceiling samphirepass.Millis
+	// due is when a shard is late whatever others take, 0 if that is to be measured.
+	due samphirepass.Millis
 
 	mu sync.Mutex
 	// last is filled, then takes the place of previous.
 	last, previous *hdrhistogram.Histogram
-	delay          samphirepass.Millis
+	delay, usual   samphirepass.Millis
 	sinceUpdate    int
 }
 
@@ -59,11 +62,12 @@
 	return &Quantile{late: late, last: newHistogram(), previous: newHistogram()}
 }
 
-// WithCeiling bounds the delay by the given time, from the first request on, and returns the hedger.
-// Where so many leaves are slow that the quantile lies among them, a second attempt after it would come too late to be of use.
-// A median near the ceiling raises it: where all requests take long, earlier second attempts would only add to the load.
-func (q *Quantile) WithCeiling(ceiling samphirepass.Millis) *Quantile {
-	q.ceiling = ceiling
+// WithDue calls a shard late at the given time, from the first request on, and returns the hedger: the latest time at which a
+// second attempt still answers before the target. Until then a first attempt may well answer by itself, and the budget
+// of second attempts lasts for those that stand still.
+// A median near it raises it: where all requests take long, second attempts would only add to the load.
+func (q *Quantile) WithDue(due samphirepass.Millis) *Quantile {
+	q.due = due
 	return q
 }
 
@@ -99,19 +103,27 @@
 	at := func(percent float64) samphirepass.Millis {
 		return samphirepass.Millis(both.ValueAtQuantile(percent)) / microsPerMilli
 	}
+	q.usual = at(50)
 	q.delay = min(at(100-q.late), max(at(50)*medianFactor, at(100-hedgeMaxPercent)))
-	if q.ceiling > 0 {
-		q.delay = min(q.delay, max(q.ceiling, at(50)*ceilingMedians))
+	if q.due > 0 {
+		q.delay = max(q.due, at(50)*dueMedians)
 	}
 }
 
-// Delay returns the quantile, once there are enough observations.
+// Usual returns the median.
+func (q *Quantile) Usual() samphirepass.Millis {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.usual
+}
+
+// Delay returns when a shard is late: at the time that was told, or the quantile once there are enough observations.
 func (q *Quantile) Delay() (samphirepass.Millis, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delay := q.delay
 	if delay == 0 {
-		delay = q.ceiling
+		delay = q.due
 	}
 	return delay, delay > 0 && q.late > 0
 }
--- a/policy/stall.go
+++ b/policy/stall.go
@@ -25,6 +25,9 @@
 	stallPenalty = 50
 	// ejectPenalty puts a failing leaf behind a paused one.
 	ejectPenalty = 500
+	// failFactor times the share of failed attempts is what they add to a leaf's cost: each needs another attempt after it,
+	// and a request that may run only once is lost.
+	failFactor = 12
 	// sharePenalty weighs a leaf on which this entry has no connection free.
 	sharePenalty = 4
 )
@@ -77,6 +80,7 @@
 	if c.Share > 0 && c.InFlight >= c.Share {
 		cost *= sharePenalty
 	}
+	cost *= 1 + failFactor*c.FailRate
 	if Stalled(c, latency) {
 		cost *= stallPenalty
 	}
