collector, directory: Let larger entries collect for smaller ones

Cause: on the grown sites each of 67 or 91 gateways fanned out to all shards by itself, with 0.192 of a core and 14 Mbit/s: some 34 ms of processor and 27 ms of link for each request, one or two connections to each leaf, and two requests a second from which to learn how fast 108 to 162 leaves are.

Change: entries tell the registrars what they have to work with, and the registrars tell all entries which ones are much larger than the smallest. A request over shards goes to one of these, in parts by the data centres that have the shards' leaves; the entry that took the request decides by which routing it is answered and merges the parts. A collector that refuses is passed over; one that is lost is not followed by another, as both could ask more leaves of a shard than the route allows. Peers tell when nobody waits for a call any more. Sources wait 0.1 s for further news of leaves before they tell. Entries open connections ahead of need only where they send to the leaves themselves. Nothing changes where no entry is twice as large as another (the two smaller sites).

--- /dev/null
+++ b/collect.go
@@ -0,0 +1,42 @@
+package samphirepass
+
+// Capacity is what a process has to work with.
+type Capacity struct {
+	// Cores is its share of the processor, in cores.
+	Cores float64
+	// LinkMbps is the speed of its VM's link, in megabits a second.
+	LinkMbps float64
+}
+
+// dwarfFactor is how many times the processor of a smaller entry one must have for a request to gain from going there:
+// at twice the speed the work of a fan-out saves more time than the way there and back takes.
+const dwarfFactor = 2
+
+// Dwarfs reports whether requests over many shards are better done with c than with other.
+func (c Capacity) Dwarfs(other Capacity) bool {
+	return c.Cores >= dwarfFactor*other.Cores && c.LinkMbps >= other.LinkMbps && other.Cores > 0
+}
+
+// CollectorCandidate is what an entry knows of a larger one that takes requests over shards from it.
+type CollectorCandidate struct {
+	Address    string
+	SameCentre bool
+	// Near is the share of the request's shards that have a leaf in the candidate's data centre.
+	Near float64
+	// InFlight counts this entry's requests that the candidate has not answered.
+	InFlight int
+	// OldestMs is the age of the oldest of them, 0 if there is none.
+	OldestMs Millis
+	// SilentMs is the time since the candidate was last heard of on a connection that stands.
+	SilentMs Millis
+	// SinceFailureMs is the time since it last failed or refused a request.
+	SinceFailureMs Millis
+}
+
+// ShardPart is a part of a request's shards that is collected together.
+type ShardPart struct {
+	// Centre is the data centre that has a leaf of each of them, empty if none has.
+	Centre DataCentre
+	// Shards are indices into the request's shards, rising.
+	Shards []int
+}
--- /dev/null
+++ b/collector/messages.go
@@ -0,0 +1,25 @@
+package collector
+
+import (
+	"samphirepass"
+	"samphirepass/leaf"
+)
+
+const kindCollect = "collect"
+
+// collectReply is what a collector made of a request over shards.
+type collectReply struct {
+	// Merged is nil where too few shards answered.
+	Merged *samphirepass.GatheredAnswer
+	// The other fields are those of leaf.Delivered.
+	Answered, Known, Least int
+	Extra, Attempts        int
+	MaybeRun               bool
+	LastLeaf               samphirepass.Leaf
+	LastError              string
+}
+
+// collectRequest is a request over shards with what its route says of it, so that the entry that took it decides by which routing it is answered.
+type collectRequest struct {
+	Delivery leaf.Delivery
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"samphirepass"
+	"samphirepass/collector"
 	"samphirepass/directory"
 	"samphirepass/gateway"
 	"samphirepass/leaf"
@@ -30,6 +31,8 @@
 	stopMarginMs samphirepass.Millis = 400
 	// learnLeavesMs is longer than the time between two heartbeats of a leaf.
 	learnLeavesMs samphirepass.Millis = 3000
+	// collectPollMs is the time between two looks at the requests that are still collected at a stop.
+	collectPollMs samphirepass.Millis = 20
 	// refreshMs is the time between two looks at the shares of connections.
 	refreshMs samphirepass.Millis = 1000
 	// extraPercent is the share of requests that hedges are meant for; the shared budget bounds them in any case.
@@ -46,6 +49,9 @@
 	peers      *peer.Pool
 	follower   *directory.Follower
 	deliverer  *leaf.Deliverer
+	collecting *collector.Server
+	peerWS     *peer.Server
+	peerHTTP   *web.Server
 	dispatcher *gateway.Dispatcher
 	metrics    *metrics.Metrics
 	reader     samphirepass.RoutingReader
@@ -71,13 +77,18 @@
 	g.pool = leaf.NewPool(clock, routingShares{g})
 	g.follower = directory.NewFollower(directory.FollowerOptions{
 		VM: cfg.VM, DataCentre: cfg.DataCentre, Seeds: cfg.SeedPeers(), Registry: g.registry, Peers: g.peers,
-		Clock: clock, Routing: g.useRouting, Log: log.For("directory").Infof,
+		Clock: clock, Routing: g.useRouting, Capacity: cfg.Capacity(), Collect: cfg.Collect(), Log: log.For("directory").Infof,
 	})
 	g.deliverer = leaf.NewDeliverer(leaf.DelivererOptions{
 		Registry: g.registry, Pool: g.pool, Sender: leaf.NewSender(g.pool, platform.LeafProtocol{}, clock), Centre: cfg.DataCentre,
 		Chooser: policy.Steady{}, Clock: clock, Budget: g.budget, ExtraPercent: extraPercent,
 	})
-	g.dispatcher = gateway.NewDispatcher(gateway.Options{Deliverer: g.deliverer, Metrics: g.metrics, Clock: clock, Log: log.For("gateway")})
+	g.collecting = collector.NewServer(g.deliverer, g.stopping.Load, log.For("collector"))
+	passing := collector.NewClient(collector.Options{
+		Own: g.deliverer, Registry: g.registry, Peers: g.peers, Offers: g.follower.Offers, Centre: cfg.DataCentre,
+		Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
+	})
+	g.dispatcher = gateway.NewDispatcher(gateway.Options{Deliverer: passing, Metrics: g.metrics, Clock: clock, Log: log.For("gateway")})
 	return g, g.listen()
 }
 
@@ -90,6 +101,16 @@
 	if g.ready, err = web.Listen(g.cfg.Ready, platform.Ready(g.isReady)); err != nil {
 		return fmt.Errorf("listen for the balancer: %w", err)
 	}
+	if g.cfg.CollectPort != 0 {
+		handlers := peer.NewHandlers()
+		g.collecting.Register(handlers)
+		g.peerWS = peer.NewServer(handlers)
+		peerMux := http.NewServeMux()
+		peerMux.Handle(peer.Path, g.peerWS)
+		if g.peerHTTP, err = web.Listen(g.cfg.Collect(), peerMux); err != nil {
+			return fmt.Errorf("listen for other entries: %w", err)
+		}
+	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+web.PathMetrics, g.metrics.Handler())
 	if g.figures, err = web.Listen(g.cfg.Metrics, mux); err != nil {
@@ -126,6 +147,9 @@
 	return b
 }
 
+// gathers reports whether a service is a shard of a route in force.
+func (g *Gateway) gathers(s samphirepass.Service) bool { return g.dispatcher.Gathers(s) }
+
 // slackShare returns the part of the budget's slack that this entry may use: the entries share it evenly.
 func (g *Gateway) slackShare() float64 {
 	n := g.follower.Entries()
@@ -171,15 +195,21 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	tree := suture.New("gateway", suture.Spec{EventHook: func(ev suture.Event) { log.Errorf("Supervisor: %s.", ev) }})
-	for _, s := range []suture.Service{g.follower, refresher{g}, leaf.NewOpener(g.registry, g.pool), g.front, g.ready, g.figures} {
+	for _, s := range []suture.Service{g.follower, refresher{g}, leaf.NewOpener(g.registry, g.pool, routingShares{g}.ahead), g.front, g.ready, g.figures} {
 		tree.Add(s)
 	}
+	if g.peerHTTP != nil {
+		tree.Add(g.peerHTTP)
+	}
 	finished := tree.ServeBackground(work)
 	log.Event("Started.", "front", g.front.Address(), "ready", g.ready.Address(), "seeds", g.cfg.Seeds)
 	<-ctx.Done()
 	err := g.finishRequests(log)
 	cancel()
 	<-finished
+	if g.peerWS != nil {
+		g.peerWS.Close()
+	}
 	g.peers.Close()
 	log.Event("Stopped.")
 	g.log.Close()
@@ -190,12 +220,16 @@
 func (g *Gateway) finishRequests(log logs.Logger) error {
 	log.Event("Stopping.", "stop-ms", g.cfg.StopMs)
 	g.stopping.Store(true)
+	g.follower.Withdraw()
 	left := g.cfg.StopMs - stopMarginMs
 	notice := min(balancerNoticeMs, left/2)
 	time.Sleep(notice.Duration())
 	ctx, cancel := context.WithTimeout(context.Background(), (left - notice).Duration())
 	defer cancel()
 	err := g.front.Drain(ctx, stopMarginMs)
+	for g.collecting.Running() > 0 && ctx.Err() == nil {
+		time.Sleep(collectPollMs.Duration())
+	}
 	g.pool.Close()
 	if err != nil {
 		return fmt.Errorf("stop gateway: %w", err)
--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -66,7 +66,7 @@
 	})
 	r.follower = directory.NewFollower(directory.FollowerOptions{
 		VM: cfg.VM, DataCentre: cfg.DataCentre, Control: cfg.Peer(), Seeds: cfg.SeedPeers(), Registry: r.registry, Peers: r.peers,
-		Clock: clock, Entries: r.source.TellEntries, Log: log.For("directory").Infof,
+		Clock: clock, Entries: r.source.TellEntries, Offers: r.source.TellOffers, Log: log.For("directory").Infof,
 	})
 	r.client = control.NewClient(members(cfg.SeedPeers()), r.peers)
 	r.source.Register(r.handlers)
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -20,6 +20,10 @@
 	connectionsPerSlot = 2
 	// leastLeaves is the number of leaves of a service that an entry needs for a second attempt.
 	leastLeaves = 2
+	// learnOffersMs is the time in which an entry learns of larger ones after its start: a question to a source takes a second.
+	learnOffersMs samphirepass.Millis = 4000
+	// collectorPart is the part of a shard's connections that collectors share out; the rest is for entries that find none.
+	collectorPart = 0.75
 )
 
 // routingShares shares the connections of each leaf out evenly among the entries that follow the directory.
@@ -34,12 +38,28 @@
 		limit = defaultConnections
 	}
 	each := connectionMargin * float64(limit) / float64(max(s.g.follower.Entries(), 1))
+	if collectors := s.g.follower.Collectors(); collectors > 0 && s.g.gathers(a.Service) {
+		if s.g.follower.Collecting() {
+			each = connectionMargin * collectorPart * float64(limit) / float64(collectors)
+		} else {
+			each *= 1 - collectorPart
+		}
+	}
 	if each < 1 && !s.picked(a, each) {
 		return 0
 	}
 	return min(max(int(each), 1), connectionsPerSlot*max(a.Slots, 1))
 }
 
+// ahead reports whether a connection to a leaf is worth opening before a request needs it: not where others collect for this entry,
+// nor before it has had the time to learn whether others do.
+func (s routingShares) ahead(a samphirepass.Announcement) bool {
+	if !s.g.gathers(a.Service) || s.g.follower.Collecting() {
+		return true
+	}
+	return len(s.g.follower.Offers()) == 0 && s.g.clock.Now()-s.g.began > learnOffersMs
+}
+
 // picked reports whether a leaf is among those of its service that this entry uses, so that on average the given number of connections
 // comes to each leaf from each entry.
 func (s routingShares) picked(a samphirepass.Announcement, each float64) bool {
@@ -48,6 +68,7 @@
 	if keep >= len(leaves) {
 		return true
 	}
+	leaves = slices.Clone(leaves)
 	slices.SortFunc(leaves, func(x, y leaf.Known) int { return cmp.Compare(s.rank(x.Announcement), s.rank(y.Announcement)) })
 	return slices.ContainsFunc(leaves[:keep], func(k leaf.Known) bool { return k.Leaf == a.Leaf })
 }
@@ -73,5 +94,10 @@
 // Version changes with the routing document, the number of entries and the leaves.
 func (s routingShares) Version() uint64 {
 	routing, _ := s.g.dispatcher.Routing()
-	return uint64(routing.Version)<<40 + s.g.registry.Version()<<10 + uint64(s.g.follower.Entries())
+	collecting := uint64(0)
+	if s.g.follower.Collecting() {
+		collecting = 1
+	}
+	counts := uint64(s.g.follower.Entries())<<8 + uint64(s.g.follower.Collectors())<<1 + collecting
+	return uint64(routing.Version)<<44 + s.g.registry.Version()<<18 + counts
 }
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -58,6 +58,12 @@
 	Routing func(samphirepass.RoutingDocument)
 	// Entries is told which entries follow a source; it may be nil.
 	Entries func([]samphirepass.VM)
+	// Offers is told the offers of entries that follow a source; it may be nil.
+	Offers func([]Offer)
+	// Capacity is that of this process, if it is an entry.
+	Capacity samphirepass.Capacity
+	// Collect is where this entry takes requests over shards from smaller ones, empty if it takes none.
+	Collect string
 	// Log takes one line for each source that is lost or regained.
 	Log func(format string, args ...any)
 }
@@ -72,14 +78,40 @@
 	// epoch and leaves are what the last reply brought.
 	epoch  string
 	leaves uint64
+	// offers are what the source last told, with their version.
+	offers        []Offer
+	offersVersion uint64
 }
 
-// entryCount is a number of entries that a source told.
-type entryCount struct {
+// count is a number of entries that a source told.
+type count struct {
 	n  int
 	at samphirepass.Millis
 }
 
+// counts are the numbers that sources told lately, falling.
+type counts []count
+
+// add keeps a number in place of the earlier ones that are not larger.
+func (c *counts) add(n int, now samphirepass.Millis) {
+	for len(*c) > 0 && (*c)[len(*c)-1].n <= n {
+		*c = (*c)[:len(*c)-1]
+	}
+	*c = append(*c, count{n: n, at: now})
+}
+
+// largest returns the largest number within countMs, 0 if there is none.
+// A source that has just started knows few entries, and shares of a limit must not grow from that.
+func (c *counts) largest(now samphirepass.Millis) int {
+	for len(*c) > 1 && now-(*c)[0].at > countMs {
+		*c = (*c)[1:]
+	}
+	if len(*c) == 0 {
+		return 0
+	}
+	return (*c)[0].n
+}
+
 // Follower keeps a process up to date from its sources; it is safe for concurrent use.
 type Follower struct {
 	o FollowerOptions
@@ -90,8 +122,10 @@
 	// currentAt is when a source last answered that itself hears of a leader.
 	currentAt samphirepass.Millis
 	touched   bool
-	// counts are the numbers of entries that sources told lately, falling.
-	counts []entryCount
+	entries   counts
+	// collectors counts the entries that collect for smaller ones; collecting is set where this is one of them.
+	collectors counts
+	collecting bool
 
 	routingMu sync.Mutex
 }
@@ -129,25 +163,10 @@
 }
 
 // Entries returns the largest number of entries that a source has told within countMs, 0 if none has.
-// A source that has just started knows few of them, and shares of a limit must not grow from that.
 func (f *Follower) Entries() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for len(f.counts) > 1 && f.o.Clock.Now()-f.counts[0].at > countMs {
-		f.counts = f.counts[1:]
-	}
-	if len(f.counts) == 0 {
-		return 0
-	}
-	return f.counts[0].n
-}
-
-// countLocked keeps a number of entries in place of the earlier ones that are not larger.
-func (f *Follower) countLocked(n int, now samphirepass.Millis) {
-	for len(f.counts) > 0 && f.counts[len(f.counts)-1].n <= n {
-		f.counts = f.counts[:len(f.counts)-1]
-	}
-	f.counts = append(f.counts, entryCount{n: n, at: now})
+	return f.entries.largest(f.o.Clock.Now())
 }
 
 // followOne keeps following one source after the other, the nearest first.
@@ -229,6 +248,7 @@
 	if c := f.contacts[address]; c != nil {
 		c.followed = false
 		c.failed = f.o.Clock.Now()
+		c.offers, c.offersVersion = nil, 0
 	}
 	f.o.Registry.Report(address, nil, false)
 }
@@ -263,6 +283,7 @@
 	req := followRequest{
 		VM: f.o.VM, Control: f.o.Control, DataCentre: f.o.DataCentre,
 		Epoch: c.epoch, Leaves: c.leaves, Routing: f.routing, WaitMs: pollWaitMs,
+		Capacity: f.o.Capacity, Collect: f.o.Collect, Offers: c.offersVersion,
 	}
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, (pollWaitMs + pollSlackMs).Duration())
@@ -289,13 +310,21 @@
 	if f.o.Entries != nil {
 		f.o.Entries(reply.Entries)
 	}
+	if f.o.Offers != nil {
+		f.o.Offers(reply.OwnOffers)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.o.Clock.Now()
 	c := f.contacts[address]
 	c.epoch, c.leaves, c.centre, c.listed = reply.Epoch, reply.LeavesVersion, reply.DataCentre, now
+	if reply.OffersVersion != c.offersVersion {
+		c.offers, c.offersVersion = reply.Offers, reply.OffersVersion
+	}
 	c.stale = reply.LeaderAgeMs > staleLeaderMs
-	f.countLocked(max(reply.EntryCount, 1), now)
+	f.entries.add(max(reply.EntryCount, 1), now)
+	f.collectors.add(reply.Collectors, now)
+	f.collecting = reply.Collecting
 	if !c.stale {
 		f.currentAt, f.touched = now, true
 	}
--- a/directory/messages.go
+++ b/directory/messages.go
@@ -13,6 +13,14 @@
 	DataCentre samphirepass.DataCentre
 }
 
+// Offer tells that an entry takes requests over shards from smaller entries.
+type Offer struct {
+	// Address is where the entry takes them.
+	Address    string
+	DataCentre samphirepass.DataCentre
+	Capacity   samphirepass.Capacity
+}
+
 // followRequest asks for what changed since the follower's last reply from this source.
 type followRequest struct {
 	VM samphirepass.VM
@@ -24,6 +32,12 @@
 	Leaves  uint64
 	Routing samphirepass.RoutingVersion
 	WaitMs  samphirepass.Millis
+	// Capacity is that of an entry.
+	Capacity samphirepass.Capacity
+	// Collect is where the entry takes requests over shards from others, empty if it takes none.
+	Collect string
+	// Offers is the version of the offers that the follower has from this source.
+	Offers uint64
 }
 
 type followReply struct {
@@ -45,4 +59,12 @@
 	// Entries are the entries that follow the source itself, EntryCount all that it knows of.
 	Entries    []samphirepass.VM
 	EntryCount int
+	// Offers are those of all collectors, if their version is another than the follower's.
+	Offers        []Offer
+	OffersVersion uint64
+	// OwnOffers are those of the entries that follow the source itself, for followers that are processes of control.
+	OwnOffers []Offer
+	// Collectors is the number of entries that smaller ones pass requests to, Collecting whether the follower is one of them.
+	Collectors int
+	Collecting bool
 }
--- /dev/null
+++ b/directory/offers_test.go
@@ -0,0 +1,54 @@
+package directory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphirepass"
+	"samphirepass/directory"
+	"samphirepass/leaf"
+	"samphirepass/peer"
+)
+
+func startSized(t *testing.T, name string, cores float64, sources []*source) *directory.Follower {
+	t.Helper()
+	peers := &peer.Pool{}
+	f := directory.NewFollower(directory.FollowerOptions{
+		VM: samphirepass.VM(name), DataCentre: centre(0), Seeds: []string{sources[0].relay.Address()}, Registry: leaf.NewRegistry(clock),
+		Peers: peers, Clock: clock, Log: t.Logf, Capacity: samphirepass.Capacity{Cores: cores, LinkMbps: 10}, Collect: "10.0.0.1:" + name,
+	})
+	serve(t, f)
+	t.Cleanup(peers.Close)
+	return f
+}
+
+// TestOffersOfLargeEntries has one large entry among small ones: these learn of it, through any source, until it withdraws.
+func TestOffersOfLargeEntries(t *testing.T) {
+	sources := startSources(t, 3)
+	large := startSized(t, "1", 0.5, sources)
+	small := []*directory.Follower{startSized(t, "2", 0.2, sources), startSized(t, "3", 0.2, sources), startSized(t, "4", 0.2, sources)}
+	for _, f := range small {
+		eventually(t, 15*time.Second, func() bool { return len(f.Offers()) == 1 && f.Offers()[0].Address == "10.0.0.1:1" }, "a small entry learns of the large one")
+		eventually(t, 15*time.Second, func() bool { return f.Collectors() == 1 }, "and how many there are")
+		require.False(t, f.Collecting())
+	}
+	eventually(t, 15*time.Second, large.Collecting, "the large entry learns that others pass requests to it")
+	require.Empty(t, large.Offers())
+	large.Withdraw()
+	for _, f := range small {
+		eventually(t, 15*time.Second, func() bool { return len(f.Offers()) == 0 }, "the offer is taken back")
+	}
+	require.Equal(t, 1, small[0].Collectors(), "shares of limits do not change at once")
+}
+
+// TestEqualEntriesCollectForThemselves has no entry that is much larger than another.
+func TestEqualEntriesCollectForThemselves(t *testing.T) {
+	sources := startSources(t, 1)
+	a, b := startSized(t, "1", 0.3, sources), startSized(t, "2", 0.2, sources)
+	eventually(t, 15*time.Second, func() bool { return a.Entries() == 2 && b.Entries() == 2 }, "both are known")
+	require.Empty(t, a.Offers())
+	require.Empty(t, b.Offers())
+	require.Zero(t, b.Collectors())
+}
--- a/directory/source.go
+++ b/directory/source.go
@@ -18,6 +18,9 @@
 	maxWaitMs samphirepass.Millis = 2000
 	// followerFreshMs is how long a follower counts after its last question.
 	followerFreshMs samphirepass.Millis = 6000
+	// coalesceMs is how long a source waits for further news of leaves before it tells: after a start or a repartition hundreds
+	// of leaves are news within a second, and each reply costs as much as some ten of them.
+	coalesceMs samphirepass.Millis = 100
 	// aliveEveryMs is the time between two lists of signs of life for one follower.
 	aliveEveryMs samphirepass.Millis = 1000
 )
@@ -45,6 +48,15 @@
 	seen    samphirepass.Millis
 	// aliveAt is when signs of life were last sent.
 	aliveAt samphirepass.Millis
+	// collect is where an entry takes requests from smaller ones, empty if it does not.
+	collect  string
+	capacity samphirepass.Capacity
+}
+
+// toldOffer is an offer that another source told of.
+type toldOffer struct {
+	Offer
+	at samphirepass.Millis
 }
 
 // SourceOptions set up a Source.
@@ -67,13 +79,15 @@
 	// entries are those that other sources told of, with the time.
 	entries map[samphirepass.VM]samphirepass.Millis
 	centres map[string]samphirepass.DataCentre
+	// told are the offers that other sources told of, by address.
+	told map[string]toldOffer
 }
 
 // NewSource returns a source without followers.
 func NewSource(o SourceOptions) *Source {
 	return &Source{
 		o: o, epoch: uuid.NewString(), followers: map[followerKey]follower{},
-		entries: map[samphirepass.VM]samphirepass.Millis{}, centres: map[string]samphirepass.DataCentre{},
+		entries: map[samphirepass.VM]samphirepass.Millis{}, centres: map[string]samphirepass.DataCentre{}, told: map[string]toldOffer{},
 	}
 }
 
@@ -95,6 +109,9 @@
 		}
 		leaves := s.o.Registry.Changed(known)
 		reply, news := s.reply(req, known)
+		if news && len(reply.Leaves) > 0 && known > 0 && reply.Routing.Version == 0 {
+			reply = s.coalesce(ctx, req, known)
+		}
 		if news {
 			return s.withAlive(req, reply), nil
 		}
@@ -109,6 +126,16 @@
 	}
 }
 
+// coalesce returns what is to tell after a short wait for more.
+func (s *Source) coalesce(ctx context.Context, req followRequest, known uint64) followReply {
+	select {
+	case <-time.After(coalesceMs.Duration()):
+	case <-ctx.Done():
+	}
+	reply, _ := s.reply(req, known)
+	return reply
+}
+
 func (s *Source) note(req followRequest) {
 	if req.Control != "" && s.o.Met != nil {
 		s.o.Met(Contact{Address: req.Control, DataCentre: req.DataCentre})
@@ -119,6 +146,7 @@
 	f := s.followers[key]
 	f.contact = Contact{Address: req.Control, DataCentre: req.DataCentre}
 	f.seen = s.o.Clock.Now()
+	f.collect, f.capacity = req.Collect, req.Capacity
 	s.followers[key] = f
 	if req.Control != "" {
 		s.centres[req.Control] = req.DataCentre
@@ -135,7 +163,19 @@
 		reply.Routing = d
 	}
 	reply.Entries, reply.EntryCount = s.countEntries()
-	return reply, req.Epoch != s.epoch || len(reply.Leaves) > 0 || reply.Routing.Version > 0
+	news := req.Epoch != s.epoch || len(reply.Leaves) > 0 || reply.Routing.Version > 0
+	if req.Control != "" {
+		reply.OwnOffers = s.ownOffers()
+		return reply, news
+	}
+	offers := s.offers()
+	reply.Collectors = len(offers)
+	reply.Collecting = slices.ContainsFunc(offers, func(o Offer) bool { return o.Address == req.Collect })
+	reply.OffersVersion = offersVersion(offers)
+	if reply.OffersVersion != req.Offers || req.Epoch != s.epoch {
+		reply.Offers, news = offers, true
+	}
+	return reply, news
 }
 
 // withAlive adds signs of life for followers that count silence themselves.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -76,6 +76,12 @@
 	return r.routing, true
 }
 
+// Gathers reports whether a service is a shard of a route in force.
+func (d *Dispatcher) Gathers(s samphirepass.Service) bool {
+	r := d.router.Load()
+	return r != nil && r.shards[s]
+}
+
 // ClientLimits returns what clients may send, zero before there are routes.
 func (d *Dispatcher) ClientLimits() samphirepass.ClientLimits {
 	routing, _ := d.Routing()
@@ -145,7 +151,10 @@
 		if !one.Route.Gathers() {
 			return samphirepass.ClientAnswer{Leaf: out.Replies[0]}, nil
 		}
-		return samphirepass.ClientAnswer{Gathered: gathered(one, out)}, nil
+		if out.Merged != nil {
+			return samphirepass.ClientAnswer{Gathered: out.Merged}, nil
+		}
+		return samphirepass.ClientAnswer{Gathered: Merge(one, out)}, nil
 	}
 	switch {
 	case !out.MaybeRun && out.Answered == 0:
@@ -161,7 +170,8 @@
 	}
 }
 
-func gathered(one leaf.Delivery, out leaf.Delivered) *samphirepass.GatheredAnswer {
+// Merge returns the answer over the shards that answered.
+func Merge(one leaf.Delivery, out leaf.Delivered) *samphirepass.GatheredAnswer {
 	a := &samphirepass.GatheredAnswer{Missing: len(one.Shards) - out.Answered, Body: mergeTop(out.Replies, one.Route.Top)}
 	for _, reply := range out.Replies {
 		if reply != nil {
@@ -171,6 +181,19 @@
 	return a
 }
 
+// Combine returns one answer of several parts of the shards.
+func Combine(top int, parts []*samphirepass.GatheredAnswer) *samphirepass.GatheredAnswer {
+	out := &samphirepass.GatheredAnswer{}
+	bodies := make([]*samphirepass.Reply, len(parts))
+	for i, p := range parts {
+		out.Signatures = append(out.Signatures, p.Signatures...)
+		out.Missing += p.Missing
+		bodies[i] = &samphirepass.Reply{Body: p.Body}
+	}
+	out.Body = mergeTop(bodies, top)
+	return out
+}
+
 // refuse records a request that was refused before it had a plan.
 func (d *Dispatcher) refuse(r samphirepass.ClientRequest, version samphirepass.RoutingVersion, refusal *samphirepass.Refusal) (samphirepass.ClientAnswer, error) {
 	d.o.Metrics.Request("", 0, metrics.QueryRefused, 0)
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -16,14 +16,19 @@
 	// hosts holds the routes of each host, the longest prefix first.
 	hosts  map[string][]samphirepass.Route
 	splits map[samphirepass.RouteName]*split
+	// shards holds the services that are a shard of some route.
+	shards map[samphirepass.Service]bool
 }
 
 // NewRouter returns a router over a valid document.
 func NewRouter(routing samphirepass.Routing) *Router {
-	r := &Router{routing: routing, hosts: map[string][]samphirepass.Route{}, splits: map[samphirepass.RouteName]*split{}}
+	r := &Router{routing: routing, hosts: map[string][]samphirepass.Route{}, splits: map[samphirepass.RouteName]*split{}, shards: map[samphirepass.Service]bool{}}
 	for _, route := range routing.Routes {
 		host := strings.ToLower(route.Host)
 		r.hosts[host] = append(r.hosts[host], route)
+		for _, shard := range route.Shards {
+			r.shards[shard] = true
+		}
 		if len(route.Services) > 1 {
 			r.splits[route.Name] = newSplit(route.Services)
 		}
--- a/leaf/open.go
+++ b/leaf/open.go
@@ -24,15 +24,17 @@
 type Opener struct {
 	registry *Registry
 	pool     *Pool
+	// ahead reports whether a connection to a leaf is worth opening ahead of need.
+	ahead func(samphirepass.Announcement) bool
 
 	mu sync.Mutex
 	// opened holds the lives of leaves that a connection has been opened to, whatever became of it.
 	opened map[samphirepass.Leaf]samphirepass.Incarnation
 }
 
-// NewOpener returns an opener of connections to the leaves in registry.
-func NewOpener(registry *Registry, pool *Pool) *Opener {
-	return &Opener{registry: registry, pool: pool, opened: map[samphirepass.Leaf]samphirepass.Incarnation{}}
+// NewOpener returns an opener of connections to those leaves in registry for which ahead reports true.
+func NewOpener(registry *Registry, pool *Pool, ahead func(samphirepass.Announcement) bool) *Opener {
+	return &Opener{registry: registry, pool: pool, ahead: ahead, opened: map[samphirepass.Leaf]samphirepass.Incarnation{}}
 }
 
 // Serve runs until ctx ends.
@@ -61,7 +63,7 @@
 	var out []Known
 	for _, k := range known {
 		there[k.Leaf] = true
-		if k.State == samphirepass.LeafServing && o.opened[k.Leaf] != k.Incarnation {
+		if k.State == samphirepass.LeafServing && o.opened[k.Leaf] != k.Incarnation && o.ahead(k.Announcement) {
 			o.opened[k.Leaf] = k.Incarnation
 			out = append(out, k)
 		}
@@ -94,5 +96,5 @@
 	}
 	defer t.lanes.release(one)
 	// A leaf that cannot be reached now is met again by the first request to it.
-	_ = one.prepare(ctx, k.Address)
+	_ = one.open(ctx, k.Address)
 }
--- a/leaf/open_test.go
+++ b/leaf/open_test.go
@@ -50,7 +50,7 @@
 			pool := leaf.NewPool(clock, fixedShares(1))
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			go func() { _ = leaf.NewOpener(r, pool).Serve(ctx) }()
+			go func() { _ = leaf.NewOpener(r, pool, func(samphirepass.Announcement) bool { return true }).Serve(ctx) }()
 			require.Eventually(t, func() bool { return opened.Load() == 1 }, 5*time.Second, 5*time.Millisecond)
 			time.Sleep(50 * time.Millisecond)
 			_, err = leaf.NewSender(pool, leaf.Native{}, clock).Send(ctx, a, samphirepass.Attempt{Request: "q", DeadlineMs: 500})
--- a/peer/client.go
+++ b/peer/client.go
@@ -49,7 +49,17 @@
 // Address returns the address of the other process.
 func (c *Client) Address() string { return c.address }
 
-// Call sends a request and decodes the reply into reply; ErrLost or a context error leave open whether it was carried out.
+// SilentFor returns the time since the last frame of the other end, 0 where no connection stands.
+func (c *Client) SilentFor() samphirepass.Millis {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil || c.conn.closed() {
+		return 0
+	}
+	return samphirepass.MillisOf(time.Since(time.Unix(0, c.conn.lastRead.Load())))
+}
+
+// Call sends a request and decodes the reply into reply; ErrLost or a context error leave open whether it was carried out, ErrNotSent tells that it was not.
 func (c *Client) Call(ctx context.Context, kind string, req, reply any) error {
 	body, err := cbor.Marshal(req)
 	if err != nil {
@@ -57,7 +67,7 @@
 	}
 	conn, err := c.connect(ctx)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	b, err := conn.call(ctx, kind, body)
 	if err != nil {
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -28,7 +28,10 @@
 // ErrLost tells that a connection ended before the reply; the request may have been carried out.
 var ErrLost = eris.New("peer: connection lost")
 
-// frame is one message on a connection; a frame with neither kind nor reply is a heartbeat.
+// ErrNotSent tells that a request was not sent, as there was no connection.
+var ErrNotSent = eris.New("peer: not sent")
+
+// frame is one message on a connection; a frame with neither kind, reply nor cancel is a heartbeat.
 type frame struct {
 	ID    uint64 `codec:"i,omitempty"`
 	Kind  string `codec:"k,omitempty"`
@@ -37,6 +40,8 @@
 	TimeoutMs samphirepass.Millis   `codec:"t,omitempty"`
 	Body      []byte                `codec:"b,omitempty"`
 	Refusal   *samphirepass.Refusal `codec:"e,omitempty"`
+	// Cancel tells that nobody waits for the reply to ID any more.
+	Cancel bool `codec:"c,omitempty"`
 }
 
 // conn is one WebSocket with a writer, a reader and heartbeats.
@@ -51,13 +56,15 @@
 
 	mu      sync.Mutex
 	waiting map[uint64]chan frame
+	// answering ends the requests of the other end that are under way.
+	answering map[uint64]context.CancelFunc
 }
 
 func newConn(ws *websocket.Conn, h *Handlers) *conn {
 	ws.SetReadLimit(maxFrameBytes)
 	c := &conn{
 		ws: ws, handlers: h, out: make(chan []byte, sendQueue),
-		done: make(chan struct{}), waiting: map[uint64]chan frame{},
+		done: make(chan struct{}), waiting: map[uint64]chan frame{}, answering: map[uint64]context.CancelFunc{},
 	}
 	c.lastRead.Store(time.Now().UnixNano())
 	return c
@@ -146,14 +153,31 @@
 	switch {
 	case f.Reply:
 		c.deliver(f)
+	case f.Cancel:
+		c.endAnswer(f.ID)
 	case f.Kind == "":
 	case f.ID == 0:
 		c.handlers.notify(f.Kind, f.Body)
 	default:
+		ctx, cancel := context.WithCancel(ctx)
+		c.mu.Lock()
+		c.answering[f.ID] = cancel
+		c.mu.Unlock()
 		go c.answer(ctx, f)
 	}
 }
 
+// endAnswer cancels the context of a request of the other end, if it is still under way.
+func (c *conn) endAnswer(id uint64) {
+	c.mu.Lock()
+	cancel := c.answering[id]
+	delete(c.answering, id)
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
 func (c *conn) deliver(f frame) {
 	c.mu.Lock()
 	ch := c.waiting[f.ID]
@@ -165,6 +189,7 @@
 }
 
 func (c *conn) answer(ctx context.Context, f frame) {
+	defer c.endAnswer(f.ID)
 	if f.TimeoutMs > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, f.TimeoutMs.Duration())
@@ -225,6 +250,8 @@
 		}
 		return reply.Body, nil
 	case <-ctx.Done():
+		// A connection that is lost ends the request at the other end, too.
+		_ = c.send(frame{ID: f.ID, Cancel: true})
 		return nil, fmt.Errorf("wait for reply to %s: %w", kind, ctx.Err())
 	}
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -35,6 +35,11 @@
 		<-ctx.Done()
 		return message{}, ctx.Err()
 	})
+	peer.HandleCall(h, "ended", func(ctx context.Context, _ message) (message, error) {
+		<-ctx.Done()
+		notified <- message{Text: ctx.Err().Error()}
+		return message{}, ctx.Err()
+	})
 	peer.HandleNotify(h, "tell", func(m message) { notified <- m })
 	ws := peer.NewServer(h)
 	mux := http.NewServeMux()
@@ -75,6 +80,22 @@
 	})
 }
 
+// TestCallerThatGoesEndsItsRequest has a caller stop waiting long before its request's own time is over.
+func TestCallerThatGoesEndsItsRequest(t *testing.T) {
+	c, _, notified := serve(t)
+	var reply message
+	require.NoError(t, c.Call(limited(t, 5*time.Second), "echo", message{}, &reply))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	time.AfterFunc(50*time.Millisecond, cancel)
+	require.ErrorIs(t, c.Call(ctx, "ended", message{}, &reply), context.Canceled)
+	select {
+	case m := <-notified:
+		require.Equal(t, context.Canceled.Error(), m.Text)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the other end still works on a request that nobody waits for")
+	}
+}
+
 // TestProofSilentPeerConnectionIsReplaced has an open connection go silent for good while new ones work.
 func TestProofSilentPeerConnectionIsReplaced(t *testing.T) {
 	c, relay, _ := serve(t)
--- a/settings/node.go
+++ b/settings/node.go
@@ -44,6 +44,12 @@
 	Metrics string `json:"metrics" validate:"required,ip_port"`
 	// PeerPort is the port on which registrars listen to other processes, the same on all VMs.
 	PeerPort uint16 `json:"peer-port" validate:"required"`
+	// CollectPort is the port on which gateways take requests over shards from smaller ones, the same on all VMs; 0 for none.
+	CollectPort uint16 `json:"collect-port,omitempty"`
+	// Cores is the share of the processor that the process has, in cores, 0 if that is not known.
+	Cores float64 `json:"cores,omitempty" validate:"min=0,max=4096"`
+	// LinkMbps is the speed of the VM's link in megabits a second.
+	LinkMbps float64 `json:"link-mbps,omitempty" validate:"min=0,max=10000000"`
 	// Seeds are the control addresses of some registrars.
 	Seeds []string `json:"seeds" validate:"required,min=1,max=64,dive,ip_port"`
 	// Found is set only when the whole system starts for the first time, with empty disks.
@@ -92,6 +98,19 @@
 	return peerAddress(n.Address(), n.PeerPort)
 }
 
+// Collect returns the address at which a gateway takes requests from smaller ones, empty if it takes none.
+func (n Node) Collect() string {
+	if n.CollectPort == 0 {
+		return ""
+	}
+	return peerAddress(n.Address(), n.CollectPort)
+}
+
+// Capacity returns what the process has to work with.
+func (n Node) Capacity() samphirepass.Capacity {
+	return samphirepass.Capacity{Cores: n.Cores, LinkMbps: n.LinkMbps}
+}
+
 // Address returns the IP number that connections to other processes start from.
 func (n Node) Address() netip.Addr {
 	text := n.ListenIP
