collector, leaf, daemon: Stand by connections, poor shards and shares for collectors

Ruled out: limits on leaves' idle connections (none closed in time, all say 10 s).

Change: standing connections, and only such a collector is chosen; a wait ends only where the collector is silent; collectors tell which shards are better asked elsewhere, and entries turn to another data centre for them; overlapping answers of a leaf count once; collectors get half of the connections of shards and most of the slack, and take 128 requests at once. A gateway that has just started holds requests for a moment in place of a refusal.

--- a/collect.go
+++ b/collect.go
@@ -27,6 +27,8 @@
 	InFlight int
 	// OldestMs is the age of the oldest of them, 0 if there is none.
 	OldestMs Millis
+	// Connected is set where a connection to the candidate stands.
+	Connected bool
 	// SilentMs is the time since the candidate was last heard of on a connection that stands.
 	SilentMs Millis
 	// SinceFailureMs is the time since it last failed or refused a request.
--- a/collector/client.go
+++ b/collector/client.go
@@ -1,12 +1,16 @@
 package collector
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"samphirepass"
@@ -21,8 +25,16 @@
 const (
 	// wayMs is kept from the time to settle and the deadline for the way to the collector and back.
 	wayMs samphirepass.Millis = 4
-	// overdueMs is the time beyond settling and patience after which a collector's answer is no longer waited for.
-	overdueMs samphirepass.Millis = 100
+	// overdueMs is the time beyond settling and patience from which the answer of a collector that has fallen silent is no longer
+	// waited for; one that still sends heartbeats waits for leaves.
+	overdueMs samphirepass.Millis = 50
+	// openEveryMs is the time between two looks for collectors without a connection.
+	openEveryMs samphirepass.Millis = 250
+	// farCollectors is the number of collectors in other data centres that an entry is connected to.
+	farCollectors = 3
+	// poorMs is how long a shard is collected elsewhere after a collector called its own leaves of it poor: longer than a leaf's
+	// slowness is remembered there, and short beside the troubles that cause it.
+	poorMs samphirepass.Millis = 4000
 	// maxCollectors bounds the collectors that one request is offered to before this entry collects itself.
 	maxCollectors = 2
 	// neverMs is the time since something that has not happened.
@@ -37,6 +49,7 @@
 	Peers    *peer.Pool
 	// Offers returns the larger entries that collect for this one.
 	Offers func() []directory.Offer
+	VM     samphirepass.VM
 	Centre samphirepass.DataCentre
 	// Capacity is that of this entry.
 	Capacity samphirepass.Capacity
@@ -57,11 +70,19 @@
 
 	mu      sync.Mutex
 	records map[string]*record
+	// poor holds until when a shard is not collected in a data centre.
+	poor map[poorKey]samphirepass.Millis
+}
+
+// poorKey names a shard and a data centre whose leaves of it do badly.
+type poorKey struct {
+	shard  samphirepass.Service
+	centre samphirepass.DataCentre
 }
 
 // NewClient returns a client that has met no collector.
 func NewClient(o Options) *Client {
-	return &Client{o: o, records: map[string]*record{}}
+	return &Client{o: o, records: map[string]*record{}, poor: map[poorKey]samphirepass.Millis{}}
 }
 
 // Covered counts the shards for which a leaf is known that may get work.
@@ -69,7 +90,7 @@
 
 // Deliver passes a request over shards on, in parts by where the shards have leaves, or delivers it from here.
 func (c *Client) Deliver(ctx context.Context, one leaf.Delivery) leaf.Delivered {
-	offers := c.o.Offers()
+	offers := c.offers()
 	if !one.Route.Gathers() || len(offers) == 0 {
 		return c.o.Own.Deliver(ctx, one)
 	}
@@ -90,6 +111,41 @@
 	return combine(one, outs)
 }
 
+// Serve keeps connections to collectors open, so that no request waits for one, until ctx ends.
+func (c *Client) Serve(ctx context.Context) error {
+	t := time.NewTicker(openEveryMs.Duration())
+	defer t.Stop()
+	for {
+		for _, o := range c.offers() {
+			c.o.Peers.Get(o.Address).Open()
+		}
+		c.forget()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return fmt.Errorf("connect to collectors: %w", ctx.Err())
+		}
+	}
+}
+
+// offers returns the collectors of this entry: those in its data centre that are much larger, and a few others,
+// each entry in an order of its own.
+func (c *Client) offers() []directory.Offer {
+	all := c.o.Offers()
+	rank := func(o directory.Offer) uint64 { return xxhash.Sum64String(string(c.o.VM) + "/" + o.Address) }
+	slices.SortFunc(all, func(a, b directory.Offer) int { return cmp.Compare(rank(a), rank(b)) })
+	out, far := all[:0], 0
+	for _, o := range all {
+		if o.DataCentre != c.o.Centre {
+			far++
+		}
+		if (o.DataCentre == c.o.Centre && o.Capacity.Dwarfs(c.o.Capacity)) || (o.DataCentre != c.o.Centre && far <= farCollectors) {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
 // offered returns the data centres of the offers.
 func offered(offers []directory.Offer) []samphirepass.DataCentre {
 	var out []samphirepass.DataCentre
@@ -101,17 +157,44 @@
 	return out
 }
 
-// centres returns, for each shard, the data centres that have a leaf of it.
+// centres returns, for each shard, the data centres that have a leaf of it which does well, or any leaf if none does.
 func (c *Client) centres(shards []samphirepass.Service) [][]samphirepass.DataCentre {
 	out := make([][]samphirepass.DataCentre, len(shards))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.o.Clock.Now()
 	for i, s := range shards {
-		for _, k := range c.o.Registry.Serving(s) {
+		leaves := c.o.Registry.Serving(s)
+		for _, k := range leaves {
+			if c.poor[poorKey{s, k.DataCentre}] <= now {
+				out[i] = append(out[i], k.DataCentre)
+			}
+		}
+		if len(out[i]) > 0 {
+			continue
+		}
+		for _, k := range leaves {
 			out[i] = append(out[i], k.DataCentre)
 		}
 	}
 	return out
 }
 
+// notePoor takes in which of a part's shards do badly in the data centre that collected it.
+func (c *Client) notePoor(shards []samphirepass.Service, poor []int, centre samphirepass.DataCentre) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := c.o.Clock.Now() + poorMs
+	for i, s := range shards {
+		key := poorKey{s, centre}
+		if slices.Contains(poor, i) {
+			c.poor[key] = until
+		} else {
+			delete(c.poor, key)
+		}
+	}
+}
+
 // partOf returns the delivery of a part of the shards, of which the allowed number may be missing.
 func partOf(one leaf.Delivery, p samphirepass.ShardPart, allowed int) leaf.Delivery {
 	out := one
@@ -157,19 +240,24 @@
 func (c *Client) deliverPart(ctx context.Context, one leaf.Delivery, p samphirepass.ShardPart, centres [][]samphirepass.DataCentre, offers []directory.Offer) leaf.Delivered {
 	began := c.o.Clock.Now()
 	for range maxCollectors {
-		address := c.choose(one, p, centres, offers)
-		if address == "" {
+		to, ok := c.choose(one, p, centres, offers)
+		if !ok {
 			break
 		}
-		out, sent := c.collect(ctx, address, since(one, c.o.Clock.Now()-began))
-		if sent {
-			return out
+		out, sent := c.collect(ctx, to.Address, since(one, c.o.Clock.Now()-began))
+		if !sent {
+			continue
+		}
+		if out.Merged != nil {
+			c.notePoor(one.Shards, out.Poor, to.DataCentre)
 		}
+		return out
 	}
 	one = since(one, c.o.Clock.Now()-began)
 	out := c.o.Own.Deliver(ctx, one)
 	if out.Answered > 0 && out.Answered >= out.Least {
 		out.Merged = gateway.Merge(one, out)
+		c.notePoor(one.Shards, out.Poor, c.o.Centre)
 	}
 	return out
 }
@@ -183,10 +271,11 @@
 	return one
 }
 
-// choose returns the address of the collector to ask for a part, or nothing if this entry does better itself:
+// choose returns the collector to ask for a part, if this entry does not better itself:
 // near leaves it asks itself unless the collector is much larger.
-func (c *Client) choose(one leaf.Delivery, p samphirepass.ShardPart, centres [][]samphirepass.DataCentre, offers []directory.Offer) string {
+func (c *Client) choose(one leaf.Delivery, p samphirepass.ShardPart, centres [][]samphirepass.DataCentre, offers []directory.Offer) (directory.Offer, bool) {
 	var candidates []samphirepass.CollectorCandidate
+	var of []directory.Offer
 	c.mu.Lock()
 	now := c.o.Clock.Now()
 	for _, offer := range offers {
@@ -195,8 +284,9 @@
 		}
 		candidate := samphirepass.CollectorCandidate{
 			Address: offer.Address, SameCentre: offer.DataCentre == c.o.Centre, Near: near(p, centres, offer.DataCentre),
-			SilentMs: c.o.Peers.Get(offer.Address).SilentFor(), SinceFailureMs: neverMs,
+			SinceFailureMs: neverMs,
 		}
+		candidate.SilentMs, candidate.Connected = c.o.Peers.Get(offer.Address).SilentFor()
 		if r := c.records[offer.Address]; r != nil {
 			candidate.InFlight = len(r.begun)
 			if len(r.begun) > 0 {
@@ -206,18 +296,18 @@
 				candidate.SinceFailureMs = now - r.failedAt
 			}
 		}
-		candidates = append(candidates, candidate)
+		candidates, of = append(candidates, candidate), append(of, offer)
 	}
 	c.mu.Unlock()
 	if len(candidates) == 0 {
-		return ""
+		return directory.Offer{}, false
 	}
 	i := policy.ChooseCollector(candidates)
 	if i < 0 {
 		c.o.Log.Decision("Request is collected here: no collector is sound.", "request", one.Request.ID, "collectors", len(candidates))
-		return ""
+		return directory.Offer{}, false
 	}
-	return candidates[i].Address
+	return of[i], true
 }
 
 // near returns the share of a part's shards that have a leaf in a data centre.
@@ -231,6 +321,14 @@
 	return float64(n) / float64(len(p.Shards))
 }
 
+// forget drops what is no longer so.
+func (c *Client) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.o.Clock.Now()
+	maps.DeleteFunc(c.poor, func(_ poorKey, until samphirepass.Millis) bool { return until <= now })
+}
+
 func (c *Client) start(address string) samphirepass.Millis {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -259,18 +357,18 @@
 // collect asks one collector; sent is false where the request certainly went to no leaf and may be offered to another.
 // Where that is open it is not sent again: both together could ask more leaves of a shard than the route allows.
 func (c *Client) collect(ctx context.Context, address string, one leaf.Delivery) (out leaf.Delivered, sent bool) {
-	limit := one.Request.DeadlineMs
+	to := c.o.Peers.Get(address)
+	bounded, cancel := context.WithTimeout(ctx, one.Request.DeadlineMs.Duration())
+	defer cancel()
 	if one.SettleMs > 0 {
-		limit = min(limit, one.SettleMs+one.PatienceMs+overdueMs)
+		go endIfSilent(bounded, cancel, to, one.SettleMs+one.PatienceMs+overdueMs)
 	}
-	bounded, cancel := context.WithTimeout(ctx, limit.Duration())
-	defer cancel()
 	began := c.start(address)
 	req := collectRequest{Delivery: since(one, wayMs)}
 	// The shards stand beside the route.
 	req.Delivery.Route.Shards = nil
 	var reply collectReply
-	err := c.o.Peers.Get(address).Call(bounded, kindCollect, req, &reply)
+	err := to.Call(bounded, kindCollect, req, &reply)
 	refusal := samphirepass.AsRefusal(err)
 	notSent := errors.Is(err, peer.ErrNotSent) || (refusal != nil && refusal.NotRun)
 	// A client that has gone says nothing against the collector.
@@ -282,10 +380,28 @@
 	}
 	out = leaf.Delivered{
 		Merged: reply.Merged, Answered: reply.Answered, Known: reply.Known, Least: reply.Least, Extra: reply.Extra,
-		Attempts: reply.Attempts, MaybeRun: reply.MaybeRun, LastLeaf: reply.LastLeaf,
+		Attempts: reply.Attempts, MaybeRun: reply.MaybeRun, LastLeaf: reply.LastLeaf, Poor: reply.Poor,
 	}
 	if reply.LastError != "" {
 		out.LastErr = eris.New(reply.LastError)
 	}
 	return out, true
 }
+
+// endIfSilent gives a call up once its answer is overdue and the other end has fallen silent.
+func endIfSilent(ctx context.Context, cancel context.CancelFunc, to *peer.Client, overdue samphirepass.Millis) {
+	t := time.NewTimer(overdue.Duration())
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		if silent, stands := to.SilentFor(); !stands || silent > policy.CollectorSilentMs {
+			cancel()
+			return
+		}
+		t.Reset(overdueMs.Duration())
+	}
+}
--- a/collector/messages.go
+++ b/collector/messages.go
@@ -17,6 +17,8 @@
 	MaybeRun               bool
 	LastLeaf               samphirepass.Leaf
 	LastError              string
+	// Poor are the shards of the request that are better asked elsewhere for a while.
+	Poor []int
 }
 
 // collectRequest is a request over shards with what its route says of it, so that the entry that took it decides by which routing it is answered.
--- a/collector/server.go
+++ b/collector/server.go
@@ -10,9 +10,9 @@
 	"samphirepass/peer"
 )
 
-// maxCollecting bounds the requests that a collector works on at once for others: about what fills the processor
-// of a small VM, beyond which the entries do better with their own.
-const maxCollecting = 24
+// maxCollecting bounds the requests that a collector works on at once for others, by their memory: each holds some 0.4 MB
+// for 40 shards. Entries that are refused ask the leaves themselves, over connections that leaves have few of, so it is not lower.
+const maxCollecting = 128
 
 // Server collects for smaller entries.
 type Server struct {
@@ -53,7 +53,7 @@
 	out := s.deliverer.Deliver(ctx, one)
 	reply := collectReply{
 		Answered: out.Answered, Known: out.Known, Least: out.Least, Extra: out.Extra, Attempts: out.Attempts,
-		MaybeRun: out.MaybeRun, LastLeaf: out.LastLeaf,
+		MaybeRun: out.MaybeRun, LastLeaf: out.LastLeaf, Poor: out.Poor,
 	}
 	if out.LastErr != nil {
 		reply.LastError = out.LastErr.Error()
@@ -62,6 +62,6 @@
 		reply.Merged = gateway.Merge(one, out)
 	}
 	s.log.Decision("Request collected.", "request", one.Request.ID, "route", one.Route.Name, "shards", len(one.Shards),
-		"answered", out.Answered, "attempts", out.Attempts, "extra", out.Extra, "far", out.Far, "last-leaf", out.LastLeaf, "last-error", reply.LastError)
+		"answered", out.Answered, "attempts", out.Attempts, "extra", out.Extra, "far", out.Far, "poor", len(out.Poor), "last-leaf", out.LastLeaf, "last-error", reply.LastError)
 	return reply, nil
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -31,6 +31,8 @@
 	stopMarginMs samphirepass.Millis = 400
 	// learnLeavesMs is longer than the time between two heartbeats of a leaf.
 	learnLeavesMs samphirepass.Millis = 3000
+	// collectorSlack is the part of a budget's slack that is for entries which collect for others.
+	collectorSlack = 0.8
 	// collectPollMs is the time between two looks at the requests that are still collected at a stop.
 	collectPollMs samphirepass.Millis = 20
 	// refreshMs is the time between two looks at the shares of connections.
@@ -49,6 +51,7 @@
 	peers      *peer.Pool
 	follower   *directory.Follower
 	deliverer  *leaf.Deliverer
+	passing    *collector.Client
 	collecting *collector.Server
 	peerWS     *peer.Server
 	peerHTTP   *web.Server
@@ -84,11 +87,11 @@
 		Chooser: policy.Steady{}, Clock: clock, Budget: g.budget, ExtraPercent: extraPercent,
 	})
 	g.collecting = collector.NewServer(g.deliverer, g.stopping.Load, log.For("collector"))
-	passing := collector.NewClient(collector.Options{
-		Own: g.deliverer, Registry: g.registry, Peers: g.peers, Offers: g.follower.Offers, Centre: cfg.DataCentre,
+	g.passing = collector.NewClient(collector.Options{
+		VM: cfg.VM, Own: g.deliverer, Registry: g.registry, Peers: g.peers, Offers: g.follower.Offers, Centre: cfg.DataCentre,
 		Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
 	})
-	g.dispatcher = gateway.NewDispatcher(gateway.Options{Deliverer: passing, Metrics: g.metrics, Clock: clock, Log: log.For("gateway")})
+	g.dispatcher = gateway.NewDispatcher(gateway.Options{Deliverer: g.passing, Metrics: g.metrics, Clock: clock, Log: log.For("gateway")})
 	return g, g.listen()
 }
 
@@ -141,7 +144,7 @@
 	b := g.budgets[s]
 	if b == nil {
 		limits := policy.WindowLimits{Ratio: g.cfg.RetryBudget.Ratio, SpanMs: g.cfg.RetryBudget.WindowMs, Slack: g.cfg.RetryBudget.Slack}
-		b = policy.NewWindow(limits, g.slackShare, g.clock)
+		b = policy.NewWindow(limits, func() float64 { return g.slackShare(s) }, g.clock)
 		g.budgets[s] = b
 	}
 	return b
@@ -150,13 +153,20 @@
 // gathers reports whether a service is a shard of a route in force.
 func (g *Gateway) gathers(s samphirepass.Service) bool { return g.dispatcher.Gathers(s) }
 
-// slackShare returns the part of the budget's slack that this entry may use: the entries share it evenly.
-func (g *Gateway) slackShare() float64 {
-	n := g.follower.Entries()
-	if n == 0 {
+// slackShare returns the part of a budget's slack that this entry may use on a service. The entries share it evenly;
+// of a shard, those that collect for others share most of it, as they send nearly all requests.
+func (g *Gateway) slackShare(s samphirepass.Service) float64 {
+	entries, collectors := g.follower.Entries(), g.follower.Collectors()
+	if entries == 0 {
 		return 0
 	}
-	return 1 / float64(n)
+	if collectors == 0 || !g.gathers(s) {
+		return 1 / float64(entries)
+	}
+	if g.follower.Collecting() {
+		return collectorSlack / float64(collectors)
+	}
+	return (1 - collectorSlack) / float64(entries)
 }
 
 // isReady reports whether the balancer should send new connections here.
@@ -198,6 +208,7 @@
 	for _, s := range []suture.Service{g.follower, refresher{g}, leaf.NewOpener(g.registry, g.pool, routingShares{g}.ahead), g.front, g.ready, g.figures} {
 		tree.Add(s)
 	}
+	tree.Add(g.passing)
 	if g.peerHTTP != nil {
 		tree.Add(g.peerHTTP)
 	}
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -18,12 +18,14 @@
 	defaultConnections = 32
 	// connectionsPerSlot bounds the share of one entry: more connections than a leaf can work on only wait there.
 	connectionsPerSlot = 2
-	// leastLeaves is the number of leaves of a service that an entry needs for a second attempt.
-	leastLeaves = 2
+	// leastLeaves is the number of leaves of a service that an entry needs for a second attempt; one that has others collect for it
+	// makes do with fewer.
+	leastLeaves     = 2
+	leastLeavesKept = 1
 	// learnOffersMs is the time in which an entry learns of larger ones after its start: a question to a source takes a second.
 	learnOffersMs samphirepass.Millis = 4000
 	// collectorPart is the part of a shard's connections that collectors share out; the rest is for entries that find none.
-	collectorPart = 0.75
+	collectorPart = 0.5
 )
 
 // routingShares shares the connections of each leaf out evenly among the entries that follow the directory.
@@ -37,15 +39,16 @@
 	if limit <= 0 {
 		limit = defaultConnections
 	}
-	each := connectionMargin * float64(limit) / float64(max(s.g.follower.Entries(), 1))
+	shared := connectionMargin * float64(limit)
+	each, least := shared/float64(max(s.g.follower.Entries(), 1)), leastLeaves
 	if collectors := s.g.follower.Collectors(); collectors > 0 && s.g.gathers(a.Service) {
 		if s.g.follower.Collecting() {
-			each = connectionMargin * collectorPart * float64(limit) / float64(collectors)
+			each = shared * collectorPart / float64(collectors)
 		} else {
-			each *= 1 - collectorPart
+			each, least = each*(1-collectorPart), leastLeavesKept
 		}
 	}
-	if each < 1 && !s.picked(a, each) {
+	if each < 1 && !s.picked(a, each, least) {
 		return 0
 	}
 	return min(max(int(each), 1), connectionsPerSlot*max(a.Slots, 1))
@@ -61,10 +64,10 @@
 }
 
 // picked reports whether a leaf is among those of its service that this entry uses, so that on average the given number of connections
-// comes to each leaf from each entry.
-func (s routingShares) picked(a samphirepass.Announcement, each float64) bool {
+// comes to each leaf from each entry, and at least the given number of leaves is used.
+func (s routingShares) picked(a samphirepass.Announcement, each float64, least int) bool {
 	leaves := s.g.registry.Serving(a.Service)
-	keep := max(wholeNumber(each*float64(len(leaves)), string(s.g.cfg.VM)+"/"+string(a.Service)), leastLeaves)
+	keep := max(wholeNumber(each*float64(len(leaves)), string(s.g.cfg.VM)+"/"+string(a.Service)), least)
 	if keep >= len(leaves) {
 		return true
 	}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"samphirepass"
 	"samphirepass/leaf"
@@ -17,6 +18,11 @@
 	patienceFactor = 1
 	// startMs is the time in which an entry usually learns the routing after its start, also where all of control starts with it.
 	startMs samphirepass.Millis = 700
+	// holdMs is the age of the process up to which a request waits for the first routing: after a start of all processes together
+	// small VMs take some half of it to learn the routing.
+	holdMs samphirepass.Millis = 1500
+	// holdPart of a request's time is how long it waits at most, so that a refusal leaves its client time for another try.
+	holdPart = 3
 	// retryNoRoutingMs is when a client may come back if the start takes longer.
 	retryNoRoutingMs samphirepass.Millis = 300
 	// retryNoLeafMs is when a client may come back while too few leaves are known; discovery takes about as long.
@@ -46,11 +52,13 @@
 	o      Options
 	began  samphirepass.Millis
 	router atomic.Pointer[Router]
+	// inForce is closed once there is a routing.
+	inForce chan struct{}
 }
 
 // NewDispatcher returns a dispatcher without routes.
 func NewDispatcher(o Options) *Dispatcher {
-	return &Dispatcher{o: o, began: o.Clock.Now()}
+	return &Dispatcher{o: o, began: o.Clock.Now(), inForce: make(chan struct{})}
 }
 
 // Use puts a routing document in force, unless one with the same or a higher version is, and reports whether it did.
@@ -62,6 +70,9 @@
 			return false
 		}
 		if d.router.CompareAndSwap(have, next) {
+			if have == nil {
+				close(d.inForce)
+			}
 			return true
 		}
 	}
@@ -91,7 +102,10 @@
 // Dispatch answers one request.
 func (d *Dispatcher) Dispatch(ctx context.Context, r samphirepass.ClientRequest) (samphirepass.ClientAnswer, error) {
 	began := d.o.Clock.Now()
-	router := d.router.Load()
+	router := d.awaitRouter(ctx, r)
+	if r.DeadlineMs > 0 {
+		r.DeadlineMs = max(r.DeadlineMs-(d.o.Clock.Now()-began), 1)
+	}
 	if router == nil {
 		return d.refuse(r, 0, later(max(startMs-(began-d.began), retryNoRoutingMs), samphirepass.Refuse(samphirepass.CodeUnavailable, "no routing is known yet")))
 	}
@@ -101,6 +115,9 @@
 	}
 	shards := router.Shards(route)
 	one := delivery(r, route, shards)
+	if one.SettleMs > 0 {
+		one.SettleMs = max(one.SettleMs-(d.o.Clock.Now()-began), 1)
+	}
 	var out leaf.Delivered
 	answer, refusal := d.precheck(one)
 	if refusal == nil {
@@ -116,6 +133,29 @@
 	return answer, nil
 }
 
+// awaitRouter returns the routes in force. A process that has just started and learns them any moment waits for them:
+// its clients would lose more time with a refusal and another try.
+func (d *Dispatcher) awaitRouter(ctx context.Context, r samphirepass.ClientRequest) *Router {
+	if router := d.router.Load(); router != nil {
+		return router
+	}
+	wait := holdMs - (d.o.Clock.Now() - d.began)
+	if r.DeadlineMs > 0 {
+		wait = min(wait, r.DeadlineMs/holdPart)
+	}
+	if wait <= 0 {
+		return nil
+	}
+	timeout := time.NewTimer(wait.Duration())
+	defer timeout.Stop()
+	select {
+	case <-d.inForce:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return d.router.Load()
+}
+
 // delivery bounds a request by its route and says when its answer is due.
 func delivery(r samphirepass.ClientRequest, route samphirepass.Route, shards []samphirepass.Service) leaf.Delivery {
 	if r.DeadlineMs <= 0 {
--- a/gateway/dispatch_test.go
+++ b/gateway/dispatch_test.go
@@ -127,6 +127,38 @@
 	require.Equal(t, samphirepass.CodeUnavailable, samphirepass.AsRefusal(err).Code, "without routing nothing is known not to exist")
 }
 
+// TestStartingProcessHoldsRequests has a request come before the routing: it waits a part of its time, and no longer.
+func TestStartingProcessHoldsRequests(t *testing.T) {
+	tests := map[string]struct {
+		after  time.Duration
+		served bool
+	}{
+		"the routing comes in time": {100 * time.Millisecond, true},
+		"it does not":               {time.Minute, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := &deliverer{covered: 1, out: leaf.Delivered{Replies: []*samphirepass.Reply{part("a", "")}, Answered: 1, Least: 1}}
+			starting := gateway.NewDispatcher(gateway.Options{Deliverer: d, Metrics: metrics.NewMetrics(), Clock: samphirepass.SystemClock{}})
+			route := single
+			route.TimeoutMs = 10_000
+			timer := time.AfterFunc(tt.after, func() { starting.Use(samphirepass.Routing{Version: 1, Routes: []samphirepass.Route{route}}) })
+			defer timer.Stop()
+			began := time.Now()
+			r := request("/s/")
+			r.DeadlineMs = 600
+			_, err := starting.Dispatch(t.Context(), r)
+			if tt.served {
+				require.NoError(t, err)
+				require.LessOrEqual(t, d.got[0].Request.DeadlineMs, samphirepass.Millis(500), "the wait is taken from the time left")
+				return
+			}
+			require.True(t, samphirepass.AsRefusal(err).NotRun)
+			require.Less(t, time.Since(began), 400*time.Millisecond, "a third of the request's time")
+		})
+	}
+}
+
 func TestLeafFailureIsPassedOn(t *testing.T) {
 	failure := part("f", "broken")
 	failure.Answer.Status = 500
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"samphirepass"
+	"samphirepass/policy"
 )
 
 // launch starts an attempt on a leaf that this shard has not tried, if there is one left.
@@ -44,6 +45,21 @@
 	return f.chooser.Choose(candidates)
 }
 
+// poor returns the shards whose near leaves are worse than those in other data centres; those without a near leaf are not meant.
+func (f *fanOut) poor() []int {
+	var out []int
+	for i, leaves := range f.leaves {
+		candidates := make([]samphirepass.Candidate, len(leaves))
+		for j, k := range leaves {
+			candidates[j] = f.pool.Candidate(k, f.centre, f.expected)
+		}
+		if policy.PoorNear(candidates) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // untried returns the leaves that a shard may still be asked from; the plan may be older than a leaf's drain.
 func (f *fanOut) untried(shard int) []Known {
 	tried := f.shards[shard].tried
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -67,6 +67,8 @@
 	MaybeRun bool
 	// Extra counts the hedges and retries, Attempts all leaf requests.
 	Extra, Attempts int
+	// Poor are the shards whose leaves in the own data centre are so slow or fail so often that others are preferred.
+	Poor []int
 	// Far counts the leaf requests that went to other data centres.
 	Far int
 	// HalfMs is the time after which half of the shards had been answered or given up.
@@ -201,6 +203,9 @@
 	out.LastErr, out.LastLeaf = f.lastErr, f.lastLeaf
 	out.Answered, out.Failure, out.MaybeRun = f.answered, f.failure, f.maybeRun || f.running() > 0
 	out.Far = f.far
+	if one.Route.Gathers() {
+		out.Poor = f.poor()
+	}
 	out.Extra, out.Attempts, out.HalfMs, out.Shed = f.extra, f.attempts, f.halfMs, f.shed && f.answered < len(f.shards)
 	return out
 }
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -14,9 +14,9 @@
 	latencyWeight = 0.2
 	// networkWeight is the weight of a new figure in the moving mean of the network's share.
 	networkWeight = 0.1
-	// usualAnswers is the number of answers that a leaf's usual latency is the median of: a pause spoils one or two of them
-	// before new requests go elsewhere, a leaf that has turned slow spoils all.
-	usualAnswers = 5
+	// usualAnswers is the number of answers that a leaf's usual latency is the median of: a pause spoils one of them,
+	// as attempts that overlap count once, and a leaf that has turned slow spoils the next one, too.
+	usualAnswers = 3
 	// failWeight is the weight of one finished attempt in the share of failed ones, failFadeMs the time in which that share fades by 1/e.
 	failWeight                     = 0.1
 	failFadeMs samphirepass.Millis = 5000
@@ -39,6 +39,8 @@
 	begun []begun
 	// recent holds the latencies of the last answers in multiples of what was expected, the oldest first.
 	recent []float64
+	// sampledAt is when recent last changed: of attempts that overlap only one counts, as a pause meets all of them.
+	sampledAt samphirepass.Millis
 	// observedAt is when latency last changed.
 	observedAt samphirepass.Millis
 	latency    samphirepass.Millis
@@ -205,10 +207,13 @@
 
 func (t *target) observe(now, took, expected samphirepass.Millis) {
 	t.observedAt = now
-	if len(t.recent) == usualAnswers {
-		t.recent = t.recent[1:]
+	if now-took >= t.sampledAt {
+		if len(t.recent) == usualAnswers {
+			t.recent = t.recent[1:]
+		}
+		t.recent = append(t.recent, float64(took/scale(expected)))
+		t.sampledAt = now
 	}
-	t.recent = append(t.recent, float64(took/scale(expected)))
 	if t.latency == 0 {
 		t.latency = took
 		return
--- a/peer/client.go
+++ b/peer/client.go
@@ -49,14 +49,26 @@
 // Address returns the address of the other process.
 func (c *Client) Address() string { return c.address }
 
-// SilentFor returns the time since the last frame of the other end, 0 where no connection stands.
-func (c *Client) SilentFor() samphirepass.Millis {
+// SilentFor returns the time since the last frame of the other end, and whether a connection stands.
+func (c *Client) SilentFor() (samphirepass.Millis, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn == nil || c.conn.closed() {
-		return 0
+		return 0, false
 	}
-	return samphirepass.MillisOf(time.Since(time.Unix(0, c.conn.lastRead.Load())))
+	return samphirepass.MillisOf(time.Since(time.Unix(0, c.conn.lastRead.Load()))), true
+}
+
+// Open dials ahead of need, unless a connection stands or the last dial failed just now; it does not wait.
+func (c *Client) Open() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	stands := c.conn != nil && !c.conn.closed()
+	if stands || c.stopped || c.dialing != nil || (c.lastErr != nil && time.Since(c.failed) < redialPauseMs.Duration()) {
+		return
+	}
+	c.dialing = make(chan struct{})
+	go c.dial(c.dialing)
 }
 
 // Call sends a request and decodes the reply into reply; ErrLost or a context error leave open whether it was carried out, ErrNotSent tells that it was not.
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -52,6 +52,8 @@
 	done     chan struct{}
 	closing  sync.Once
 	lastRead atomic.Int64
+	// lastSent is when a frame was last sent, which spares a heartbeat.
+	lastSent atomic.Int64
 	nextID   atomic.Uint64
 
 	mu      sync.Mutex
@@ -127,7 +129,10 @@
 				c.close()
 				return
 			}
-			_ = c.send(frame{})
+			if time.Since(time.Unix(0, c.lastSent.Load())) >= BeatMs.Duration()/2 {
+				// A send that fails closes the connection, which ends this loop.
+				_ = c.send(frame{})
+			}
 		case <-c.done:
 			return
 		}
@@ -214,6 +219,7 @@
 	}
 	select {
 	case c.out <- b:
+		c.lastSent.Store(time.Now().UnixNano())
 		return nil
 	case <-c.done:
 		return ErrLost
--- a/policy/collect.go
+++ b/policy/collect.go
@@ -12,8 +12,8 @@
 	// collectorStallMs is the age of an unanswered request from which a collector is passed over: answers are due within their
 	// route's target, a fraction of a second.
 	collectorStallMs samphirepass.Millis = 400
-	// collectorSilentMs is the time without a frame after which it is passed over: two heartbeats, and what a slow VM delays them.
-	collectorSilentMs samphirepass.Millis = 1000
+	// CollectorSilentMs is the time without a frame after which it is passed over: two heartbeats.
+	CollectorSilentMs samphirepass.Millis = 800
 	// collectorAvoidMs is how long a collector that failed is passed over.
 	collectorAvoidMs samphirepass.Millis = 1000
 	// farShardCost weighs a shard whose parts all cross between data centres, against farCollectorCost for the one merged answer.
@@ -27,7 +27,7 @@
 func ChooseCollector(candidates []samphirepass.CollectorCandidate) int {
 	best, least := -1, math.Inf(1)
 	for i, c := range candidates {
-		if c.OldestMs > collectorStallMs || c.SilentMs > collectorSilentMs || c.SinceFailureMs < collectorAvoidMs {
+		if !c.Connected || c.OldestMs > collectorStallMs || c.SilentMs > CollectorSilentMs || c.SinceFailureMs < collectorAvoidMs {
 			continue
 		}
 		cost := 1 + farShardCost*(1-c.Near) + busyCost*float64(c.InFlight)
--- a/policy/stall.go
+++ b/policy/stall.go
@@ -90,6 +90,24 @@
 	return cost
 }
 
+// PoorNear reports whether all leaves in the own data centre, if there are any, are a worse choice than one elsewhere,
+// for longer than a pause lasts.
+func PoorNear(candidates []samphirepass.Candidate) bool {
+	typical := medianLatency(candidates)
+	near, far := math.Inf(1), math.Inf(1)
+	for _, c := range candidates {
+		// What is under way now says little of the next seconds.
+		c.OldestMs, c.InFlight = 0, 0
+		cost := SteadyCost(c, typical)
+		if c.SameCentre {
+			near = min(near, cost)
+		} else {
+			far = min(far, cost)
+		}
+	}
+	return far < near && !math.IsInf(near, 1)
+}
+
 // Stalled reports whether the oldest attempt on a leaf has waited so long that the leaf seems to stand still.
 func Stalled(c samphirepass.Candidate, usual samphirepass.Millis) bool {
 	return c.OldestMs > max(stallFactor*usual, stallMinMs)
--- a/policy/stall_test.go
+++ b/policy/stall_test.go
@@ -44,3 +44,28 @@
 		})
 	}
 }
+
+// TestPoorNear tells when a shard is better collected in another data centre for a while.
+func TestPoorNear(t *testing.T) {
+	near := samphirepass.Candidate{Leaf: "near", SameCentre: true, Slots: 3, UsualMs: 20, Share: 3}
+	far := samphirepass.Candidate{Leaf: "far", Slots: 3, UsualMs: 20, Share: 3}
+	with := func(c samphirepass.Candidate, f func(*samphirepass.Candidate)) samphirepass.Candidate {
+		f(&c)
+		return c
+	}
+	tests := map[string]struct {
+		near samphirepass.Candidate
+		want bool
+	}{
+		"well":           {near, false},
+		"paused":         {with(near, func(c *samphirepass.Candidate) { c.InFlight, c.OldestMs = 2, 150 }), false},
+		"slow":           {with(near, func(c *samphirepass.Candidate) { c.UsualMs = 150 }), true},
+		"failing":        {with(near, func(c *samphirepass.Candidate) { c.FailRate = 0.4 }), true},
+		"elsewhere, too": {with(near, func(c *samphirepass.Candidate) { c.SameCentre = false }), false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tt.want, policy.PoorNear([]samphirepass.Candidate{tt.near, far}))
+		})
+	}
+}
