directory: Keep the number of entries over a restart, and repeat less

Followers were told all contacts each second.

Tried and left: naming each leaf a registrar in its own data centre for its next heartbeats.

Change: the number of entries and of collectors stands beside the leaves that are kept on the disk; contacts are told when they change; signs of life go between registrars each 1.5 s in place of each second; an entry connects to two collectors elsewhere in place of three.

--- a/collector/client.go
+++ b/collector/client.go
@@ -31,7 +31,7 @@
 	// openEveryMs is the time between two looks for collectors without a connection.
 	openEveryMs samphirepass.Millis = 250
 	// farCollectors is the number of collectors in other data centres that an entry is connected to.
-	farCollectors = 3
+	farCollectors = 2
 	// poorMs is how long a shard is collected elsewhere after a collector called its own leaves of it poor: longer than a leaf's
 	// slowness is remembered there, and short beside the troubles that cause it.
 	poorMs samphirepass.Millis = 4000
--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -227,7 +227,7 @@
 		log.Errorf("Leaves are not kept: %v.", err)
 		return
 	}
-	keeper := directory.NewKeeper(folder, r.registry, log.Infof)
+	keeper := directory.NewKeeper(folder, r.registry, r.source, log.Infof)
 	keeper.Load()
 	tree.Add(keeper)
 }
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -81,6 +81,9 @@
 	// offers are what the source last told, with their version.
 	offers        []Offer
 	offersVersion uint64
+	// contacts are what the source last told, with their version.
+	contacts        []Contact
+	contactsVersion uint64
 }
 
 // count is a number of entries that a source told.
@@ -248,7 +251,7 @@
 	if c := f.contacts[address]; c != nil {
 		c.followed = false
 		c.failed = f.o.Clock.Now()
-		c.offers, c.offersVersion = nil, 0
+		c.offers, c.offersVersion, c.contacts, c.contactsVersion = nil, 0, nil, 0
 	}
 	f.o.Registry.Report(address, nil, false)
 }
@@ -283,7 +286,7 @@
 	req := followRequest{
 		VM: f.o.VM, Control: f.o.Control, DataCentre: f.o.DataCentre,
 		Epoch: c.epoch, Leaves: c.leaves, Routing: f.routing, WaitMs: pollWaitMs,
-		Capacity: f.o.Capacity, Collect: f.o.Collect, Offers: c.offersVersion,
+		Capacity: f.o.Capacity, Collect: f.o.Collect, Offers: c.offersVersion, Contacts: c.contactsVersion,
 	}
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, (pollWaitMs + pollSlackMs).Duration())
@@ -328,7 +331,10 @@
 	if !c.stale {
 		f.currentAt, f.touched = now, true
 	}
-	for _, one := range reply.Contacts {
+	if reply.ContactsVersion != c.contactsVersion {
+		c.contacts, c.contactsVersion = reply.Contacts, reply.ContactsVersion
+	}
+	for _, one := range c.contacts {
 		f.learnLocked(one, now)
 	}
 	return c.stale && f.o.Control == "" && f.otherLocked()
--- a/directory/keeper.go
+++ b/directory/keeper.go
@@ -16,21 +16,32 @@
 	keptTemporary = "leaves-new"
 	// keepEveryMs bounds how often the leaves are written; a change is written at once if the last one is longer ago.
 	keepEveryMs samphirepass.Millis = 500
+	// countEveryMs is the time between two looks at the number of entries.
+	countEveryMs samphirepass.Millis = 2000
 )
 
-// Keeper keeps the known leaves on a disk, so that requests are served again at once after all processes of control stopped
+// known is what is kept.
+type known struct {
+	Leaves []leaf.Heard
+	// Entries and Collectors are the numbers by which limits are shared out.
+	Entries, Collectors int
+}
+
+// Keeper keeps the known leaves and the number of entries on a disk, so that requests are served again at once after all processes of control stopped
 // together, and not only when each leaf has sent its next heartbeat. What it reads is a hint: a request names its leaf,
-// and a leaf that gives no sign of life is soon called silent.
+// and a leaf that gives no sign of life is soon called silent. Without the number of entries those that come back first
+// would take the shares of all others.
 type Keeper struct {
 	files    samphirepass.Files
 	registry *leaf.Registry
+	source   *Source
 	log      func(format string, args ...any)
 	failing  bool
 }
 
-// NewKeeper returns a keeper of what registry holds.
-func NewKeeper(files samphirepass.Files, registry *leaf.Registry, log func(format string, args ...any)) *Keeper {
-	return &Keeper{files: files, registry: registry, log: log}
+// NewKeeper returns a keeper of what registry holds and of the number of entries that source counts.
+func NewKeeper(files samphirepass.Files, registry *leaf.Registry, source *Source, log func(format string, args ...any)) *Keeper {
+	return &Keeper{files: files, registry: registry, source: source, log: log}
 }
 
 // Load takes in the leaves that were kept; it is called before the registry hears of any.
@@ -41,33 +52,42 @@
 		return
 	}
 	data, err := k.files.Read(keptName)
-	var leaves []leaf.Heard
+	var have known
 	if err == nil {
-		err = cbor.Unmarshal(data, &leaves)
+		err = cbor.Unmarshal(data, &have)
 	}
 	if err != nil {
 		// A torn file is as good as none: heartbeats tell the same a little later.
 		k.log("Kept leaves cannot be read: %v.", err)
 		return
 	}
-	for _, h := range leaves {
+	for _, h := range have.Leaves {
 		k.registry.Hear(h.Announcement, min(h.AgeMs, leaf.SilentMs/2), false)
 	}
-	k.log("%d kept leaves are known until their heartbeats say otherwise.", len(leaves))
+	k.source.remember(have.Entries, have.Collectors)
+	k.log("%d kept leaves are known until their heartbeats say otherwise; limits are shared among %d entries, %d of which collect.",
+		len(have.Leaves), have.Entries, have.Collectors)
 }
 
 // Serve writes changes until ctx ends.
 func (k *Keeper) Serve(ctx context.Context) error {
 	version := uint64(0)
+	var counted [2]int
+	t := time.NewTicker(countEveryMs.Duration())
+	defer t.Stop()
 	for {
 		select {
 		case <-k.registry.Changed(version):
+		case <-t.C:
 		case <-ctx.Done():
 			return fmt.Errorf("keep leaves: %w", ctx.Err())
 		}
 		all, now := k.registry.ChangesSince(0)
-		version = now
-		k.note(k.write(all))
+		entries, collectors := k.source.counts()
+		if count := [2]int{entries, collectors}; now != version || count != counted {
+			version, counted = now, count
+			k.note(k.write(known{Leaves: all, Entries: entries, Collectors: collectors}))
+		}
 		select {
 		case <-time.After(keepEveryMs.Duration()):
 		case <-ctx.Done():
@@ -89,8 +109,8 @@
 	k.log("Leaves are kept again.")
 }
 
-func (k *Keeper) write(leaves []leaf.Heard) error {
-	data, err := cbor.Marshal(leaves)
+func (k *Keeper) write(state known) error {
+	data, err := cbor.Marshal(state)
 	if err != nil {
 		return fmt.Errorf("encode leaves: %w", err)
 	}
--- a/directory/messages.go
+++ b/directory/messages.go
@@ -38,6 +38,8 @@
 	Collect string
 	// Offers is the version of the offers that the follower has from this source.
 	Offers uint64
+	// Contacts is the version of the contacts that the follower has from this source.
+	Contacts uint64
 }
 
 type followReply struct {
@@ -54,7 +56,7 @@
 	Routing samphirepass.RoutingDocument
 	// LeaderAgeMs is the time since the source heard of a leader, without whom it may have missed changes.
 	LeaderAgeMs samphirepass.Millis
-	// Contacts are the processes of control that the source knows.
+	// Contacts are the processes of control that the source knows, if their version is another than the follower's.
 	Contacts []Contact
 	// Entries are the entries that follow the source itself, EntryCount all that it knows of.
 	Entries    []samphirepass.VM
@@ -67,4 +69,6 @@
 	// Collectors is the number of entries that smaller ones pass requests to, Collecting whether the follower is one of them.
 	Collectors int
 	Collecting bool
+	// ContactsVersion is that of the contacts.
+	ContactsVersion uint64
 }
--- a/directory/source.go
+++ b/directory/source.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"samphirepass"
@@ -21,8 +22,8 @@
 	// coalesceMs is how long a source waits for further news of leaves before it tells: after a start or a repartition hundreds
 	// of leaves are news within a second, and each reply costs as much as some ten of them.
 	coalesceMs samphirepass.Millis = 100
-	// aliveEveryMs is the time between two lists of signs of life for one follower.
-	aliveEveryMs samphirepass.Millis = 1000
+	// aliveEveryMs is the time between two lists of signs of life for one follower: some four of them fit into the time after which a leaf is silent.
+	aliveEveryMs samphirepass.Millis = 1500
 )
 
 // State is what a process of control knows of the replicated state; it is safe for concurrent use.
@@ -79,6 +80,9 @@
 	// entries are those that other sources told of, with the time.
 	entries map[samphirepass.VM]samphirepass.Millis
 	centres map[string]samphirepass.DataCentre
+	// keptEntries and keptCollectors were counted before this process started, at startedAt.
+	keptEntries, keptCollectors int
+	startedAt                   samphirepass.Millis
 	// told are the offers that other sources told of, by address.
 	told map[string]toldOffer
 }
@@ -86,7 +90,7 @@
 // NewSource returns a source without followers.
 func NewSource(o SourceOptions) *Source {
 	return &Source{
-		o: o, epoch: uuid.NewString(), followers: map[followerKey]follower{},
+		o: o, epoch: uuid.NewString(), startedAt: o.Clock.Now(), followers: map[followerKey]follower{},
 		entries: map[samphirepass.VM]samphirepass.Millis{}, centres: map[string]samphirepass.DataCentre{}, told: map[string]toldOffer{},
 	}
 }
@@ -156,20 +160,25 @@
 func (s *Source) reply(req followRequest, known uint64) (followReply, bool) {
 	reply := followReply{
 		Epoch: s.epoch, DataCentre: s.o.Self.DataCentre, Silent: s.o.Registry.Silent(),
-		LeaderAgeMs: s.o.State.LeaderAge(), Contacts: s.contacts(),
+		LeaderAgeMs: s.o.State.LeaderAge(),
+	}
+	contacts := s.contacts()
+	reply.ContactsVersion = contactsVersion(contacts)
+	if reply.ContactsVersion != req.Contacts {
+		reply.Contacts = contacts
 	}
 	reply.Leaves, reply.LeavesVersion = s.o.Registry.ChangesSince(known)
 	if d := s.o.State.AppliedRouting(); d.Version > req.Routing {
 		reply.Routing = d
 	}
-	reply.Entries, reply.EntryCount = s.countEntries()
+	reply.Entries, _ = s.countEntries()
+	reply.EntryCount, reply.Collectors = s.counts()
 	news := req.Epoch != s.epoch || len(reply.Leaves) > 0 || reply.Routing.Version > 0
 	if req.Control != "" {
 		reply.OwnOffers = s.ownOffers()
 		return reply, news
 	}
 	offers := s.offers()
-	reply.Collectors = len(offers)
 	reply.Collecting = slices.ContainsFunc(offers, func(o Offer) bool { return o.Address == req.Collect })
 	reply.OffersVersion = offersVersion(offers)
 	if reply.OffersVersion != req.Offers || req.Epoch != s.epoch {
@@ -222,6 +231,15 @@
 	return out
 }
 
+// contactsVersion returns a number that is the same for the same contacts in any order.
+func contactsVersion(contacts []Contact) uint64 {
+	sum := uint64(0)
+	for _, c := range contacts {
+		sum += xxhash.Sum64String(c.Address + "/" + string(c.DataCentre))
+	}
+	return sum
+}
+
 // countEntries returns the entries that follow this source, and how many there are with those that other sources told of.
 func (s *Source) countEntries() ([]samphirepass.VM, int) {
 	s.mu.Lock()
@@ -249,6 +267,26 @@
 	return own, len(all)
 }
 
+// counts returns the numbers of entries and of those that collect. Soon after a start they are at least those of before:
+// the entries come back one after the other, and shares of a limit must not grow from that.
+func (s *Source) counts() (entries, collectors int) {
+	_, entries = s.countEntries()
+	collectors = len(s.offers())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.o.Clock.Now()-s.startedAt < countMs {
+		entries, collectors = max(entries, s.keptEntries), max(collectors, s.keptCollectors)
+	}
+	return entries, collectors
+}
+
+// remember takes in what was counted before this process started.
+func (s *Source) remember(entries, collectors int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keptEntries, s.keptCollectors = entries, collectors
+}
+
 // TellEntries takes in which entries follow another source.
 func (s *Source) TellEntries(entries []samphirepass.VM) {
 	s.mu.Lock()
