directory, leaf, daemon: Keep control's messages inside a data centre

Entries kept following the seeds, of which it is not known where they are, so each routing document of 18 KB and all news of leaves went to 91 entries twice, mostly across; registrars sent each other documents that they have from the log; connections that rest were probed each second.

Change: an entry leaves a source elsewhere for a sound one in its own data centre, in both places if there are two; registrars do not ask for documents; resting connections are probed each 4 s; connections are opened ahead of need to shards only.

--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -54,10 +54,13 @@
 	return min(max(int(each), 1), connectionsPerSlot*max(a.Slots, 1))
 }
 
-// ahead reports whether a connection to a leaf is worth opening before a request needs it: not where others collect for this entry,
-// nor before it has had the time to learn whether others do.
+// ahead reports whether a connection to a leaf is worth opening before a request needs it: only to shards, of which a request needs
+// many at once, and not where others collect for this entry, nor before it has had the time to learn whether others do.
 func (s routingShares) ahead(a samphirepass.Announcement) bool {
-	if !s.g.gathers(a.Service) || s.g.follower.Collecting() {
+	if !s.g.gathers(a.Service) {
+		return false
+	}
+	if s.g.follower.Collecting() {
 		return true
 	}
 	return len(s.g.follower.Offers()) == 0 && s.g.clock.Now()-s.g.began > learnOffersMs
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -148,8 +149,8 @@
 func (f *Follower) Serve(ctx context.Context) error {
 	var wg sync.WaitGroup
 	if f.o.Control == "" {
-		for slot := range sources {
-			wg.Go(func() { f.followOne(ctx, slot == 0) })
+		for range sources {
+			wg.Go(func() { f.followOne(ctx) })
 		}
 	} else {
 		wg.Go(func() { f.followAll(ctx) })
@@ -172,10 +173,11 @@
 	return f.entries.largest(f.o.Clock.Now())
 }
 
-// followOne keeps following one source after the other, the nearest first.
-func (f *Follower) followOne(ctx context.Context, near bool) {
+// followOne keeps following one source after the other, the nearest first. Where a data centre has several sources all may be near:
+// if it is cut off, they hear of no leader, and others are followed.
+func (f *Follower) followOne(ctx context.Context) {
 	for ctx.Err() == nil {
-		address := f.pick(near)
+		address := f.pick()
 		if address == "" {
 			f.pause(ctx)
 			continue
@@ -190,7 +192,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for ctx.Err() == nil {
-		for address := f.pick(true); address != ""; address = f.pick(true) {
+		for address := f.pick(); address != ""; address = f.pick() {
 			wg.Go(func() {
 				f.follow(ctx, address)
 				f.release(address)
@@ -208,7 +210,7 @@
 }
 
 // pick takes the best contact that is not followed yet, or none.
-func (f *Follower) pick(near bool) string {
+func (f *Follower) pick() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.o.Clock.Now()
@@ -226,7 +228,7 @@
 		}
 		// Each follower has an order of its own, so that they spread over the sources.
 		rank := xxhash.Sum64String(string(f.o.VM)+address) >> rankShift
-		if near && c.centre != f.o.DataCentre {
+		if c.centre != f.o.DataCentre {
 			rank |= rankFar
 		}
 		if c.stale {
@@ -277,6 +279,10 @@
 			f.o.Log("Source %s has heard of no leader for %.0f ms; another is followed.", address, reply.LeaderAgeMs)
 			return
 		}
+		if near := f.nearer(address); near != "" {
+			f.o.Log("Source %s is left for %s in the own data centre.", address, near)
+			return
+		}
 	}
 }
 
@@ -288,6 +294,10 @@
 		Epoch: c.epoch, Leaves: c.leaves, Routing: f.routing, WaitMs: pollWaitMs,
 		Capacity: f.o.Capacity, Collect: f.o.Collect, Offers: c.offersVersion, Contacts: c.contactsVersion,
 	}
+	if f.o.Routing == nil {
+		// A process of control has the document from the log.
+		req.Routing = math.MaxUint64
+	}
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, (pollWaitMs + pollSlackMs).Duration())
 	defer cancel()
@@ -362,6 +372,23 @@
 	}
 }
 
+// nearer returns a sound contact in the own data centre that may take the place of a source in another one: the first sources
+// are seeds, of which it is not known where they are.
+func (f *Follower) nearer(address string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.o.Control != "" || f.contacts[address].centre == f.o.DataCentre {
+		return ""
+	}
+	now := f.o.Clock.Now()
+	for other, c := range f.contacts {
+		if c.centre == f.o.DataCentre && !c.followed && !c.stale && now-c.failed >= avoidMs {
+			return other
+		}
+	}
+	return ""
+}
+
 // otherLocked reports whether a contact is free that is neither stale nor failing.
 func (f *Follower) otherLocked() bool {
 	now := f.o.Clock.Now()
--- a/directory/offers_test.go
+++ b/directory/offers_test.go
@@ -1,6 +1,8 @@
 package directory_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,3 +54,25 @@
 	require.Empty(t, b.Offers())
 	require.Zero(t, b.Collectors())
 }
+
+// TestNearSourceIsPreferred has the only seed in another data centre than the entry, which follows the near source once it knows of it.
+func TestNearSourceIsPreferred(t *testing.T) {
+	sources := startSources(t, 3)
+	peers := &peer.Pool{}
+	lines := make(chan string, 1000)
+	f := directory.NewFollower(directory.FollowerOptions{
+		VM: "e1", DataCentre: centre(2), Seeds: []string{sources[0].relay.Address()}, Registry: leaf.NewRegistry(clock), Peers: peers, Clock: clock,
+		Log: func(format string, args ...any) { lines <- fmt.Sprintf(format, args...) },
+	})
+	serve(t, f)
+	t.Cleanup(peers.Close)
+	near := fmt.Sprintf("Source %s answers", sources[2].relay.Address())
+	eventually(t, 10*time.Second, func() bool {
+		select {
+		case line := <-lines:
+			return strings.HasPrefix(line, near)
+		default:
+			return false
+		}
+	}, "the near source is followed")
+}
--- a/leaf/lane.go
+++ b/leaf/lane.go
@@ -19,9 +19,11 @@
 
 const (
 	dialTimeoutMs samphirepass.Millis = 1000
-	// keepAliveMs and keepAliveProbes find connections whose other end is gone without a word.
+	// keepAliveIdleMs, keepAliveMs and keepAliveProbes find connections whose other end is gone without a word within 6 s.
+	// Thousands of connections rest most of the time: with a probe each second they sent most of the bytes between data centres.
+	keepAliveIdleMs samphirepass.Millis = 4000
 	keepAliveMs     samphirepass.Millis = 1000
-	keepAliveProbes                     = 3
+	keepAliveProbes                     = 2
 	// laneBufferBytes holds most answers of one shard; larger buffers cost memory on hundreds of connections.
 	laneBufferBytes = 2048
 	// sentAtOnceBytes is the length of a body up to which a request is written before its answer is looked for;
@@ -40,7 +42,7 @@
 
 // leafDialer opens connections to leaves.
 var leafDialer = &net.Dialer{Timeout: dialTimeoutMs.Duration(), KeepAliveConfig: net.KeepAliveConfig{
-	Enable: true, Idle: keepAliveMs.Duration(), Interval: keepAliveMs.Duration(), Count: keepAliveProbes,
+	Enable: true, Idle: keepAliveIdleMs.Duration(), Interval: keepAliveMs.Duration(), Count: keepAliveProbes,
 }}
 
 // lane is the right to one connection of a leaf, with the connection if it is open; one goroutine uses it at a time.
