logs, shell: Explain a request, a routing document or a leaf from the logs

Cause: the course of a request is spread over the gateway that took it and the collectors of its parts, in files of several processes.

Change: samphirepass explain ID FILE... prints the lines about one subject in the order of time and passes over torn ones.

--- a/capacity/rows.go
+++ b/capacity/rows.go
@@ -21,7 +21,7 @@
 const (
 	announceTree = "each node hears only the leaves that it holds connections to, through relays by service (not built)"
 	relayTree    = "a tree of relays of fan-out 16 under 9 control VMs, with acknowledgments added up on the way (not built)"
-	holders      = "each leaf's connections are held by a few nodes, and a query goes through the holders of its shards (not built)"
+	holders      = "each leaf's connections are held by a few nodes, and a query goes through the holders of its shards (collectors that hold all leaves: built; holders of some: not built)"
 )
 
 func entryRows(v func(string) float64) []Row {
--- a/shell/shell.go
+++ b/shell/shell.go
@@ -31,6 +31,7 @@
 	Gateway   gatewayCommand   `command:"gateway" description:"Run a gateway between clients and leaves, on a platform with discovery."`
 	Registrar registrarCommand `command:"registrar" description:"Run a process of control, on a platform with discovery."`
 	Check     checkCommand     `command:"check" description:"Check a settings file and list every fault."`
+	Explain   explainCommand   `command:"explain" description:"Print what the logs of several processes say of one request, routing document or leaf."`
 	Demo      demoCommand      `command:"demo" description:"Run all roles in one process under a bounded load."`
 	Operator  operatorCommand  `command:"operator" description:"Read and change resources." subcommands-optional:"false"`
 }
