daemon: Open connections to shards 1.5 s after a start where nobody collects

Cause: to learn whether others collect, an entry waited 4 s after each start, on sites without collectors too, and its first requests waited for connections. The number of collectors that registrars keep over a restart tells the same sooner.

--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -22,8 +22,9 @@
 	// makes do with fewer.
 	leastLeaves     = 2
 	leastLeavesKept = 1
-	// learnOffersMs is the time in which an entry learns of larger ones after its start: a question to a source takes a second.
-	learnOffersMs samphirepass.Millis = 4000
+	// learnOffersMs is the time in which an entry learns of larger ones after its start: a question to a source takes a second,
+	// and after a start of all processes the registrars still know how many there were.
+	learnOffersMs samphirepass.Millis = 1500
 	// collectorPart is the part of a shard's connections that collectors share out; the rest is for entries that find none.
 	collectorPart = 0.5
 )
@@ -63,7 +64,7 @@
 	if s.g.follower.Collecting() {
 		return true
 	}
-	return len(s.g.follower.Offers()) == 0 && s.g.clock.Now()-s.g.began > learnOffersMs
+	return s.g.follower.Collectors() == 0 && s.g.clock.Now()-s.g.began > learnOffersMs
 }
 
 // picked reports whether a leaf is among those of its service that this entry uses, so that on average the given number of connections
