collector, directory: End a request with its first lost part, and try a near source before leaving another

Cause, found in reading: a request in parts waited for all of them after one had failed, though the client could be told; an entry left a source that answers for one in its own data centre that may be dead, again and again, and both places could do so at once.

Change: the first part that fails ends the others; a near source takes the place of another one only once it has answered, one place at a time, and one that did not answer is left alone for 10 s.

--- a/collector/client.go
+++ b/collector/client.go
@@ -101,10 +101,16 @@
 	}
 	allowed := policy.SplitAllowance(len(one.Shards)-one.Least(), parts)
 	outs := make([]leaf.Delivered, len(parts))
+	// Without one of its parts there is no answer, and the client is told at once.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var wg sync.WaitGroup
 	for i, p := range parts {
 		wg.Go(func() {
 			outs[i] = c.deliverPart(ctx, partOf(one, p, allowed[i]), p, centres, offers)
+			if outs[i].Merged == nil {
+				cancel()
+			}
 		})
 	}
 	wg.Wait()
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -29,6 +29,8 @@
 	wait time.Duration
 	// poor are the shards that are better asked elsewhere.
 	poor []int
+	// fails is set where no leaf answers.
+	fails bool
 	// ended counts the deliveries whose client went away.
 	ended atomic.Int64
 
@@ -48,6 +50,9 @@
 		d.ended.Add(1)
 		return leaf.Delivered{Least: one.Least(), MaybeRun: true}
 	}
+	if d.fails {
+		return leaf.Delivered{Least: one.Least(), Known: len(one.Shards), MaybeRun: true}
+	}
 	out := leaf.Delivered{Poor: d.poor, Least: one.Least(), Known: len(one.Shards), Answered: len(one.Shards), Attempts: len(one.Shards)}
 	for _, s := range one.Shards {
 		out.Replies = append(out.Replies, &samphirepass.Reply{
@@ -280,6 +285,42 @@
 	require.Eventually(t, func() bool { return l.deliverer.ended.Load() == 1 }, time.Second, 5*time.Millisecond)
 }
 
+// TestLostPartEndsTheOthers has one of two collectors refuse its part's shards while the other one still waits for leaves.
+func TestLostPartEndsTheOthers(t *testing.T) {
+	here, there := startLarge(t, time.Minute), startLarge(t, 0)
+	there.deliverer.fails = true
+	small := startInParts(t, here, there)
+	began := time.Now()
+	out := small.Deliver(t.Context(), gathering())
+	require.Nil(t, out.Merged)
+	require.Less(t, time.Since(began), 300*time.Millisecond, "the client is told at once")
+	require.Eventually(t, func() bool { return here.deliverer.ended.Load() == 1 }, time.Second, 5*time.Millisecond)
+}
+
+// startInParts returns an entry in derby for which here collects in derby and there, in trent, has the only leaf of the second shard.
+func startInParts(t *testing.T, here, there *large) *collector.Client {
+	t.Helper()
+	r := leaf.NewRegistry(clock)
+	for service, centre := range map[samphirepass.Service]samphirepass.DataCentre{"s1": "derby", "s2": "trent", "s3": "derby"} {
+		r.Hear(samphirepass.Announcement{
+			Leaf: samphirepass.Leaf("of-" + service), Service: service, Address: "10.0.0.1:1", DataCentre: centre, Incarnation: 1, Sequence: 1,
+			State: samphirepass.LeafServing, Slots: 1,
+		}, 0, true)
+	}
+	peers := &peer.Pool{}
+	t.Cleanup(peers.Close)
+	capacity := samphirepass.Capacity{Cores: 2}
+	offers := []directory.Offer{
+		{Address: here.relay.Address(), DataCentre: "derby", Capacity: capacity}, {Address: there.relay.Address(), DataCentre: "trent", Capacity: capacity},
+	}
+	c := collector.NewClient(collector.Options{
+		VM: "entry", Own: &deliverer{}, Registry: r, Peers: peers, Offers: func() []directory.Offer { return slices.Clone(offers) },
+		Centre: "derby", Capacity: samphirepass.Capacity{Cores: 1}, Clock: clock,
+	})
+	connect(t, c, peers, offers)
+	return c
+}
+
 // TestPoorShardsAreCollectedElsewhere has a collector call its leaf of one shard slow.
 func TestPoorShardsAreCollectedElsewhere(t *testing.T) {
 	here, there := startLarge(t, 0), startLarge(t, 0)
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -26,6 +26,8 @@
 	staleLeaderMs samphirepass.Millis = 1500
 	// avoidMs is how long a source that failed is passed over.
 	avoidMs samphirepass.Millis = 2000
+	// nearRetryMs is how long a near contact that did not answer is left alone: a try may take the time of a question.
+	nearRetryMs samphirepass.Millis = 10_000
 	// pauseMs keeps failed questions apart.
 	pauseMs samphirepass.Millis = 100
 	// contactMs is how long a contact is kept that no source names any more.
@@ -75,6 +77,9 @@
 	failed   samphirepass.Millis
 	stale    bool
 	followed bool
+	// missed is set where it did not answer, at missedAt, when it was to take the place of a source elsewhere.
+	missed   bool
+	missedAt samphirepass.Millis
 	seed     bool
 	// epoch and leaves are what the last reply brought.
 	epoch  string
@@ -126,7 +131,9 @@
 	// currentAt is when a source last answered that itself hears of a leader.
 	currentAt samphirepass.Millis
 	touched   bool
-	entries   counts
+	// tryingNear is set while a nearer source is tried.
+	tryingNear bool
+	entries    counts
 	// collectors counts the entries that collect for smaller ones; collecting is set where this is one of them.
 	collectors counts
 	collecting bool
@@ -182,8 +189,11 @@
 			f.pause(ctx)
 			continue
 		}
-		f.follow(ctx, address)
-		f.release(address)
+		for address != "" {
+			next := f.follow(ctx, address)
+			f.release(address)
+			address = next
+		}
 	}
 }
 
@@ -258,8 +268,8 @@
 	f.o.Registry.Report(address, nil, false)
 }
 
-// follow asks one source until it fails, or another would be more current.
-func (f *Follower) follow(ctx context.Context, address string) {
+// follow asks one source until it fails, or another would be more current, or a nearer one has answered, which is returned.
+func (f *Follower) follow(ctx context.Context, address string) string {
 	answered := false
 	for ctx.Err() == nil {
 		reply, err := f.ask(ctx, address)
@@ -269,7 +279,7 @@
 			} else {
 				f.pause(ctx)
 			}
-			return
+			return ""
 		}
 		if !answered {
 			f.o.Log("Source %s answers; its leader was heard %.0f ms ago.", address, reply.LeaderAgeMs)
@@ -277,13 +287,14 @@
 		answered = true
 		if f.take(address, reply) {
 			f.o.Log("Source %s has heard of no leader for %.0f ms; another is followed.", address, reply.LeaderAgeMs)
-			return
+			return ""
 		}
-		if near := f.nearer(address); near != "" {
+		if near := f.nearer(address); near != "" && f.tryNear(ctx, near) {
 			f.o.Log("Source %s is left for %s in the own data centre.", address, near)
-			return
+			return near
 		}
 	}
+	return ""
 }
 
 func (f *Follower) ask(ctx context.Context, address string) (followReply, error) {
@@ -372,23 +383,40 @@
 	}
 }
 
-// nearer returns a sound contact in the own data centre that may take the place of a source in another one: the first sources
-// are seeds, of which it is not known where they are.
+// nearer takes a contact in the own data centre that may take the place of a source in another one, or none: the first sources
+// are seeds, of which it is not known where they are. Only one is tried at a time, so that another source is followed meanwhile.
 func (f *Follower) nearer(address string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.o.Control != "" || f.contacts[address].centre == f.o.DataCentre {
+	if f.o.Control != "" || f.tryingNear || f.contacts[address].centre == f.o.DataCentre {
 		return ""
 	}
 	now := f.o.Clock.Now()
 	for other, c := range f.contacts {
-		if c.centre == f.o.DataCentre && !c.followed && !c.stale && now-c.failed >= avoidMs {
+		if c.centre == f.o.DataCentre && !c.followed && !c.stale && (!c.missed || now-c.missedAt >= nearRetryMs) {
+			c.followed, f.tryingNear = true, true
 			return other
 		}
 	}
 	return ""
 }
 
+// tryNear asks a contact that nearer took, and gives it back if it does not answer.
+func (f *Follower) tryNear(ctx context.Context, address string) bool {
+	reply, err := f.ask(ctx, address)
+	stale := err == nil && f.take(address, reply)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tryingNear = false
+	if err == nil && !stale {
+		return true
+	}
+	c := f.contacts[address]
+	c.followed, c.missed, c.missedAt = false, true, f.o.Clock.Now()
+	f.o.Log("Source %s in the own data centre is not followed (error: %v).", address, err)
+	return false
+}
+
 // otherLocked reports whether a contact is free that is neither stale nor failing.
 func (f *Follower) otherLocked() bool {
 	now := f.o.Clock.Now()
--- a/directory/offers_test.go
+++ b/directory/offers_test.go
@@ -12,6 +12,7 @@
 	"samphirepass/directory"
 	"samphirepass/leaf"
 	"samphirepass/peer"
+	"samphirepass/standin"
 )
 
 func startSized(t *testing.T, name string, cores float64, sources []*source) *directory.Follower {
@@ -76,3 +77,29 @@
 		}
 	}, "the near source is followed")
 }
+
+// TestSilentNearSourceDoesNotDelayNews has the near source accept connections and answer nothing: a lead over the far ones must not
+// cost the entry its news.
+func TestSilentNearSourceDoesNotDelayNews(t *testing.T) {
+	sources := startSources(t, 3)
+	sources[2].relay.SetAll(standin.LinkSilent)
+	e := &entry{registry: leaf.NewRegistry(clock)}
+	peers := &peer.Pool{}
+	e.Follower = directory.NewFollower(directory.FollowerOptions{
+		VM: "e1", DataCentre: centre(2), Seeds: []string{sources[0].relay.Address()}, Registry: e.registry, Peers: peers, Clock: clock, Log: t.Logf,
+	})
+	serve(t, e.Follower)
+	t.Cleanup(peers.Close)
+	e.Meet(directory.Contact{Address: sources[2].relay.Address(), DataCentre: centre(2)})
+	eventually(t, 10*time.Second, func() bool { return len(e.Addresses()) == 3 }, "all are known")
+	eventually(t, 10*time.Second, e.InTouch, "the entry is in touch")
+	for i := range 8 {
+		name := fmt.Sprint("leaf-", i)
+		sources[i%2].registry.Hear(samphirepass.Announcement{
+			Leaf: samphirepass.Leaf(name), Service: "desk", Address: fmt.Sprintf("10.0.0.%d:1", i+1), Incarnation: 1, Sequence: 1, State: samphirepass.LeafServing, Slots: 1,
+		}, 0, true)
+		eventually(t, 2500*time.Millisecond, func() bool { return len(e.registry.Serving("desk")) == i+1 }, "news arrive all the while")
+		require.True(t, e.InTouch())
+		time.Sleep(300 * time.Millisecond)
+	}
+}
