--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -132,31 +132,9 @@
 // TestPartsAreCollectedWhereTheirLeavesAre has one shard without a leaf in the entry's own data centre.
 func TestPartsAreCollectedWhereTheirLeavesAre(t *testing.T) {
 	here, there := startLarge(t, 0), startLarge(t, 0)
-	r := leaf.NewRegistry(clock)
-	for service, centre := range map[samphirepass.Service]samphirepass.DataCentre{"s1": "derby", "s2": "trent", "s3": "derby"} {
-		r.Hear(samphirepass.Announcement{
-			Leaf: samphirepass.Leaf("of-" + service), Service: service, Address: "10.0.0.1:1", DataCentre: centre, Incarnation: 1, Sequence: 1,
-			State: samphirepass.LeafServing, Slots: 1,
-		}, 0, true)
-	}
-	peers := &peer.Pool{}
-	t.Cleanup(peers.Close)
-	capacity := samphirepass.Capacity{Cores: 2}
-	offers := []directory.Offer{
-		{Address: here.relay.Address(), DataCentre: "derby", Capacity: capacity}, {Address: there.relay.Address(), DataCentre: "trent", Capacity: capacity},
-	}
-	entry := func(cores float64) (*collector.Client, *deliverer) {
-		own := &deliverer{}
-		c := collector.NewClient(collector.Options{
-			VM: "entry", Own: own, Registry: r, Peers: peers, Offers: func() []directory.Offer { return slices.Clone(offers) },
-			Centre: "derby", Capacity: samphirepass.Capacity{Cores: cores}, Clock: clock,
-		})
-		connect(t, c, peers, offers)
-		return c, own
-	}
 	whole := strings.Repeat("3", 16) + strings.Repeat("2", 16)
 
-	small, own := entry(1)
+	small, own := startBetween(t, 1, oneFar(), here, there)
 	out := small.Deliver(t.Context(), gathering())
 	require.Equal(t, &samphirepass.GatheredAnswer{Signatures: []string{"of-s1", "of-s3", "of-s2"}, Body: []byte(whole)}, out.Merged)
 	require.Equal(t, 3, out.Answered)
@@ -166,7 +144,7 @@
 	require.Equal(t, 1, here.deliverer.calls()[0].Least(), "the larger part may lack the one shard")
 	require.Equal(t, 1, there.deliverer.calls()[0].Least())
 
-	large, own := entry(2)
+	large, own := startBetween(t, 2, oneFar(), here, there)
 	require.Equal(t, []byte(whole), large.Deliver(t.Context(), gathering()).Merged.Body)
 	require.Equal(t, []samphirepass.Service{"s1", "s3"}, own.calls()[0].Shards, "a large entry asks near leaves itself")
 	require.Len(t, here.deliverer.calls(), 1)
@@ -289,7 +267,7 @@
 func TestLostPartEndsTheOthers(t *testing.T) {
 	here, there := startLarge(t, time.Minute), startLarge(t, 0)
 	there.deliverer.fails = true
-	small := startInParts(t, here, there)
+	small, _ := startBetween(t, 1, oneFar(), here, there)
 	began := time.Now()
 	out := small.Deliver(t.Context(), gathering())
 	require.Nil(t, out.Merged)
@@ -297,16 +275,27 @@
 	require.Eventually(t, func() bool { return here.deliverer.ended.Load() == 1 }, time.Second, 5*time.Millisecond)
 }
 
-// startInParts returns an entry in derby for which here collects in derby and there, in trent, has the only leaf of the second shard.
-func startInParts(t *testing.T, here, there *large) *collector.Client {
-	t.Helper()
+// announce lets a registry know a leaf of a service in a data centre.
+func announce(r *leaf.Registry, service samphirepass.Service, centre samphirepass.DataCentre) {
+	name := samphirepass.Leaf(string(service) + "-" + string(centre))
+	r.Hear(samphirepass.Announcement{
+		Leaf: name, Service: service, Address: "10.0.0.1:1", DataCentre: centre, Incarnation: 1, Sequence: 1, State: samphirepass.LeafServing, Slots: 1,
+	}, 0, true)
+}
+
+// oneFar returns a registry in which the second of the shards has its only leaf in trent, the others in derby.
+func oneFar() *leaf.Registry {
 	r := leaf.NewRegistry(clock)
-	for service, centre := range map[samphirepass.Service]samphirepass.DataCentre{"s1": "derby", "s2": "trent", "s3": "derby"} {
-		r.Hear(samphirepass.Announcement{
-			Leaf: samphirepass.Leaf("of-" + service), Service: service, Address: "10.0.0.1:1", DataCentre: centre, Incarnation: 1, Sequence: 1,
-			State: samphirepass.LeafServing, Slots: 1,
-		}, 0, true)
-	}
+	announce(r, "s1", "derby")
+	announce(r, "s2", "trent")
+	announce(r, "s3", "derby")
+	return r
+}
+
+// startBetween returns an entry in derby with the given processor, for which here collects in derby and there in trent, and what it delivers itself with.
+func startBetween(t *testing.T, cores float64, r *leaf.Registry, here, there *large) (*collector.Client, *deliverer) {
+	t.Helper()
+	own := &deliverer{}
 	peers := &peer.Pool{}
 	t.Cleanup(peers.Close)
 	capacity := samphirepass.Capacity{Cores: 2}
@@ -314,11 +303,16 @@
 		{Address: here.relay.Address(), DataCentre: "derby", Capacity: capacity}, {Address: there.relay.Address(), DataCentre: "trent", Capacity: capacity},
 	}
 	c := collector.NewClient(collector.Options{
-		VM: "entry", Own: &deliverer{}, Registry: r, Peers: peers, Offers: func() []directory.Offer { return slices.Clone(offers) },
-		Centre: "derby", Capacity: samphirepass.Capacity{Cores: 1}, Clock: clock,
+		VM: "entry", Own: own, Registry: r, Peers: peers, Offers: func() []directory.Offer { return slices.Clone(offers) },
+		Centre: "derby", Capacity: samphirepass.Capacity{Cores: cores}, Clock: clock,
 	})
-	connect(t, c, peers, offers)
-	return c
+	reached := offers
+	if cores >= capacity.Cores {
+		// It asks near leaves itself.
+		reached = offers[1:]
+	}
+	connect(t, c, peers, reached)
+	return c, own
 }
 
 // TestPoorShardsAreCollectedElsewhere has a collector call its leaf of one shard slow.
@@ -327,24 +321,10 @@
 	here.deliverer.poor = []int{1}
 	r := leaf.NewRegistry(clock)
 	for _, service := range gathering().Shards {
-		for _, centre := range []samphirepass.DataCentre{"derby", "trent"} {
-			r.Hear(samphirepass.Announcement{
-				Leaf: samphirepass.Leaf(string(service) + string(centre)), Service: service, Address: "10.0.0.1:1", DataCentre: centre,
-				Incarnation: 1, Sequence: 1, State: samphirepass.LeafServing, Slots: 1,
-			}, 0, true)
-		}
+		announce(r, service, "derby")
+		announce(r, service, "trent")
 	}
-	peers := &peer.Pool{}
-	t.Cleanup(peers.Close)
-	capacity := samphirepass.Capacity{Cores: 2}
-	offers := []directory.Offer{
-		{Address: here.relay.Address(), DataCentre: "derby", Capacity: capacity}, {Address: there.relay.Address(), DataCentre: "trent", Capacity: capacity},
-	}
-	small := collector.NewClient(collector.Options{
-		VM: "entry", Own: &deliverer{}, Registry: r, Peers: peers, Offers: func() []directory.Offer { return slices.Clone(offers) },
-		Centre: "derby", Capacity: samphirepass.Capacity{Cores: 1}, Clock: clock,
-	})
-	connect(t, small, peers, offers)
+	small, _ := startBetween(t, 1, r, here, there)
 	small.Deliver(t.Context(), gathering())
 	require.Equal(t, gathering().Shards, here.deliverer.calls()[0].Shards)
 	require.Equal(t, 3, small.Deliver(t.Context(), gathering()).Answered)
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -92,35 +92,6 @@
 	contactsVersion uint64
 }
 
-// count is a number of entries that a source told.
-type count struct {
-	n  int
-	at samphirepass.Millis
-}
-
-// counts are the numbers that sources told lately, falling.
-type counts []count
-
-// add keeps a number in place of the earlier ones that are not larger.
-func (c *counts) add(n int, now samphirepass.Millis) {
-	for len(*c) > 0 && (*c)[len(*c)-1].n <= n {
-		*c = (*c)[:len(*c)-1]
-	}
-	*c = append(*c, count{n: n, at: now})
-}
-
-// largest returns the largest number within countMs, 0 if there is none.
-// A source that has just started knows few entries, and shares of a limit must not grow from that.
-func (c *counts) largest(now samphirepass.Millis) int {
-	for len(*c) > 1 && now-(*c)[0].at > countMs {
-		*c = (*c)[1:]
-	}
-	if len(*c) == 0 {
-		return 0
-	}
-	return (*c)[0].n
-}
-
 // Follower keeps a process up to date from its sources; it is safe for concurrent use.
 type Follower struct {
 	o FollowerOptions
@@ -383,40 +354,6 @@
 	}
 }
 
-// nearer takes a contact in the own data centre that may take the place of a source in another one, or none: the first sources
-// are seeds, of which it is not known where they are. Only one is tried at a time, so that another source is followed meanwhile.
-func (f *Follower) nearer(address string) string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.o.Control != "" || f.tryingNear || f.contacts[address].centre == f.o.DataCentre {
-		return ""
-	}
-	now := f.o.Clock.Now()
-	for other, c := range f.contacts {
-		if c.centre == f.o.DataCentre && !c.followed && !c.stale && (!c.missed || now-c.missedAt >= nearRetryMs) {
-			c.followed, f.tryingNear = true, true
-			return other
-		}
-	}
-	return ""
-}
-
-// tryNear asks a contact that nearer took, and gives it back if it does not answer.
-func (f *Follower) tryNear(ctx context.Context, address string) bool {
-	reply, err := f.ask(ctx, address)
-	stale := err == nil && f.take(address, reply)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.tryingNear = false
-	if err == nil && !stale {
-		return true
-	}
-	c := f.contacts[address]
-	c.followed, c.missed, c.missedAt = false, true, f.o.Clock.Now()
-	f.o.Log("Source %s in the own data centre is not followed (error: %v).", address, err)
-	return false
-}
-
 // otherLocked reports whether a contact is free that is neither stale nor failing.
 func (f *Follower) otherLocked() bool {
 	now := f.o.Clock.Now()
