control: Send an operator on to the new leader while its change waits for the entries

Cause: a leader that has committed a change waits until most entries say that they have it. If it loses the lead meanwhile, the entries tell the new leader, and the old one waited for 10 s, longer than the operator does.

Change: a member that leads no longer says so, and the client, whose change bears an id, asks the next one. TestProofChangeOutlivesItsLeader failed before. Processes on the users' platform do not use this path: their routing documents do not wait for entries.

--- /dev/null
+++ b/control/leader_test.go
@@ -0,0 +1,75 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphirepass"
+	"samphirepass/control"
+	"samphirepass/ledger"
+	"samphirepass/peer"
+	"samphirepass/quorum"
+	"samphirepass/standin"
+)
+
+// TestProofChangeOutlivesItsLeader cuts the leader off while a change that it has committed waits for the entries, and joins it again:
+// the entries now tell the new leader what they hold, so the old one must not let the operator wait for them.
+func TestProofChangeOutlivesItsLeader(t *testing.T) {
+	members := startMembers(t, 3)
+	awaitFormed(t, members[0].o.Members)
+	operators, entries := &peer.Pool{}, &peer.Pool{}
+	t.Cleanup(operators.Close)
+	t.Cleanup(entries.Close)
+	operator, entry := control.NewClient(members[0].o.Members, operators), control.NewClient(members[0].o.Members, entries)
+	sync := func(have samphirepass.Revision) control.SyncReply {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		// A sync that fails is repeated by the caller.
+		reply, _ := entry.Sync(ctx, control.SyncRequest{VM: "e1", Address: "10.0.0.1:1", DataCentre: "derby", Process: "p1", Have: have})
+		return reply
+	}
+	have := samphirepass.Revision(0)
+	require.Eventually(t, func() bool {
+		seated := len(sync(0).View.Seats) == 1
+		have = max(have, sync(have).Revision)
+		return seated
+	}, 20*time.Second, 10*time.Millisecond, "the entry has its seat")
+
+	done := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 9*time.Second)
+		defer cancel()
+		_, err := operator.Propose(ctx, ledger.Command{Change: &samphirepass.Change{ID: "second", Kind: samphirepass.KindService, Name: "second", Spec: json.RawMessage(`""`)}})
+		done <- err
+	}()
+	var leader *running
+	require.Eventually(t, func() bool {
+		for _, s := range operator.Statuses(t.Context()) {
+			for _, m := range members {
+				if s.Role == quorum.RoleLeader && s.VM == m.o.VM {
+					leader = m
+				}
+			}
+		}
+		return leader != nil
+	}, 5*time.Second, 20*time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
+	isolate(members, leader, standin.LinkCut)
+	time.Sleep(2 * time.Second)
+	isolate(members, leader, standin.LinkPass)
+	began := time.Now()
+	for time.Since(began) < 4*time.Second {
+		have = max(have, sync(have).Revision)
+		select {
+		case err := <-done:
+			require.NoError(t, err)
+			return
+		default:
+		}
+	}
+	t.Fatal("the old leader lets the operator wait")
+}
--- a/control/serve.go
+++ b/control/serve.go
@@ -15,6 +15,8 @@
 	SyncWaitMs samphirepass.Millis = 400
 	// holdTimeoutMs bounds the wait until a majority of the entries hold a change.
 	holdTimeoutMs samphirepass.Millis = 10_000
+	// leadCheckMs is the time between two looks whether this member still leads, longer than it takes to notice that it does.
+	leadCheckMs samphirepass.Millis = 4 * TickMs
 )
 
 // Register adds the member's requests to h.
@@ -70,9 +72,12 @@
 
 // awaitHeld returns once a majority of the seated entries has revision in force.
 // An entry cut off from control relies on that majority to learn of it (docs/design/configuration.md).
+// A member that leads no longer hears from no entry, so it sends the caller to the new leader.
 func (n *Node) awaitHeld(ctx context.Context, revision samphirepass.Revision) error {
 	ctx, cancel := context.WithTimeout(ctx, holdTimeoutMs.Duration())
 	defer cancel()
+	t := time.NewTicker(leadCheckMs.Duration())
+	defer t.Stop()
 	for {
 		n.mu.Lock()
 		changed := n.changed
@@ -83,6 +88,10 @@
 		}
 		select {
 		case <-changed:
+		case <-t.C:
+			if leader, _ := n.Leader(); leader.VM != n.o.VM {
+				return samphirepass.RefuseUnknown("the change is committed, but this member leads no longer")
+			}
 		case <-n.halted:
 			return samphirepass.RefuseUnknown("control member stopped before the change was in force")
 		case <-ctx.Done():
