--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -22,8 +22,6 @@
 	failFadeMs samphirepass.Millis = 5000
 	// unscaledMs stands for the expected time of attempts of an unknown kind.
 	unscaledMs samphirepass.Millis = 1
-	// goneFailures stands for a leaf that is known to be gone: failures in a row after which it is avoided for the longest time.
-	goneFailures = 10
 	// shedLoad is the load of a leaf that refuses work.
 	shedLoad = 2.0
 )
@@ -239,15 +237,6 @@
 	t.noteLocked(now, 1)
 }
 
-// gone records that another leaf answers at the address: this one is not tried again for as long as any failing leaf is avoided,
-// however quickly such answers come. A leaf that is announced anew has a record of its own.
-func (t *target) gone(now samphirepass.Millis) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.failures = goneFailures
-	t.failedAt = now
-}
-
 // noteLocked takes a finished attempt into the share of failed ones: 1 for a failure, 0 for an answer.
 func (t *target) noteLocked(now samphirepass.Millis, failed float64) {
 	rate := t.failRateLocked(now)
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -58,7 +58,6 @@
 	case kind == samphirepass.FailureShed:
 		t.shed(now)
 	case kind == samphirepass.FailureGone:
-		t.gone(now)
 	case errors.Is(context.Cause(ctx), samphirepass.ErrBeaten):
 		t.fail(now)
 		t.slow(now, took, one.expected)
