peer: Take no connection while the server closes

Cause: a connection that arrived during Close was counted in the group that Close was waiting for.

Change: connections are counted under a lock and refused once the server closes. TestConnectionsArriveWhileTheServerCloses reported the race at once before.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -80,6 +81,32 @@
 	})
 }
 
+// TestConnectionsArriveWhileTheServerCloses has peers connect again and again while servers are closed; the race detector looks on.
+func TestConnectionsArriveWhileTheServerCloses(t *testing.T) {
+	for range 30 {
+		ws := peer.NewServer(peer.NewHandlers())
+		mux := http.NewServeMux()
+		mux.Handle(peer.Path, ws)
+		server := httptest.NewServer(mux)
+		address := strings.TrimPrefix(server.URL, "http://")
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() {
+				pool := &peer.Pool{}
+				defer pool.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+				defer cancel()
+				// Whether it connects or not depends on the moment.
+				_ = pool.Get(address).Call(ctx, "nothing", message{}, &message{})
+			})
+		}
+		time.Sleep(time.Millisecond)
+		ws.Close()
+		wg.Wait()
+		server.Close()
+	}
+}
+
 // TestCallerThatGoesEndsItsRequest has a caller stop waiting long before its request's own time is over.
 func TestCallerThatGoesEndsItsRequest(t *testing.T) {
 	c, _, notified := serve(t)
--- a/peer/server.go
+++ b/peer/server.go
@@ -87,7 +87,11 @@
 	handlers *Handlers
 	ctx      context.Context
 	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+
+	mu sync.Mutex
+	// closed keeps connections that arrive during Close from being served.
+	closed bool
+	wg     sync.WaitGroup
 }
 
 // NewServer returns a server that answers with h.
@@ -103,7 +107,11 @@
 	if err != nil {
 		return
 	}
-	s.wg.Add(1)
+	if !s.enter() {
+		// The other end sees that the connection is closed, and asks elsewhere.
+		_ = ws.CloseNow()
+		return
+	}
 	defer s.wg.Done()
 	c := newConn(ws, s.handlers)
 	go func() {
@@ -116,8 +124,22 @@
 	c.run(s.ctx)
 }
 
+// enter counts a connection, unless the server is being closed.
+func (s *Server) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.wg.Add(1)
+	return true
+}
+
 // Close ends all connections.
 func (s *Server) Close() {
 	s.cancel()
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	s.wg.Wait()
 }
