leaf: Withdraw attempts that still wait for a connection when their request ends

Cause: an attempt's time left was taken when it began to wait for a connection, and an attempt whose request had ended could still be sent within the 0.4 s that attempts in flight may take. A request that waited until its deadline also counted as possibly run, so the client of an at-most-once one could not try again. Change: an attempt carries when it expires, and the leaf is told what is left when it is sent. A permit decides once whether it is sent or withdrawn: a closed shard and an ended request withdraw what is unsent, and only attempts that were sent count as possibly run.

--- a/attempt.go
+++ b/attempt.go
@@ -14,8 +14,10 @@
 	Shard    Shard
 	// Key is set for a run, which may not be repeated.
 	Key RunKey
-	// DeadlineMs is the remaining time budget, of which the sender deducts the network time before it tells the leaf.
-	DeadlineMs Millis
+	// ExpiresAtMs is when the answer becomes useless, on the clock of this process. The leaf is told what remains when the attempt is sent.
+	ExpiresAtMs Millis
+	// Permit is withdrawn once the answer is no longer needed; it is nil for an attempt that is sent in any case.
+	Permit *SendPermit
 	// ExpectedMs is the usual latency of this kind of request, by which a leaf's latencies are scaled; 0 if unknown.
 	ExpectedMs Millis
 	Body       []byte
--- a/caller/run.go
+++ b/caller/run.go
@@ -139,7 +139,7 @@
 	attempt.Request = samphirepass.RequestID(uuid.NewString())
 	attempt.Key, attempt.Body = run.Key, run.Body
 	if deadline, ok := ctx.Deadline(); ok {
-		attempt.DeadlineMs = samphirepass.MillisOf(time.Until(deadline))
+		attempt.ExpiresAtMs = a.opts.Clock.Now() + samphirepass.MillisOf(time.Until(deadline))
 	}
 	reply, err := a.opts.Gatherer.Run(ctx, reg, attempt)
 	if err != nil {
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -32,7 +32,10 @@
 		ctx, cancel = context.WithCancelCause(ctx)
 		s.cancels = append(s.cancels, cancel)
 	}
-	go f.sendAttempt(ctx, shard, reg, f.newAttempt(shard))
+	a := f.newAttempt(shard)
+	a.Permit = &samphirepass.SendPermit{}
+	s.permits = append(s.permits, a.Permit)
+	go f.sendAttempt(ctx, shard, reg, a)
 	return true
 }
 
@@ -117,6 +120,7 @@
 		// A lower bound of the latency of the attempts in flight.
 		f.hedger.Observe(f.clock.Now() - s.startedAt)
 	}
+	s.withdraw()
 	for _, cancel := range s.cancels {
 		cancel(samphirepass.ErrSuperseded)
 	}
--- a/leaf/conn.go
+++ b/leaf/conn.go
@@ -92,12 +92,9 @@
 	}
 }
 
-// roundTrip sends a request once and returns the whole answer. It closes the connection unless another request may follow.
-// Its error wraps errNotWritten if no byte of the request was sent.
-func (pc *pooledConn) roundTrip(ctx context.Context, address string, req *http.Request, maxBody int64) (*http.Response, []byte, error) {
-	if err := pc.connect(ctx, address); err != nil {
-		return nil, nil, fmt.Errorf("%w: %w", errNotWritten, err)
-	}
+// roundTrip sends a request once, on the open connection, and returns the whole answer. It closes the connection unless another
+// request may follow. Its error wraps errNotWritten if no byte of the request was sent.
+func (pc *pooledConn) roundTrip(ctx context.Context, req *http.Request, maxBody int64) (*http.Response, []byte, error) {
 	conn := pc.conn
 	stop := context.AfterFunc(ctx, func() {
 		// It only fails on a connection that is closed already.
--- a/leaf/connpool.go
+++ b/leaf/connpool.go
@@ -47,8 +47,9 @@
 	p.waiters = p.waiters[1:]
 }
 
-// acquire returns the most recently used idle connection, or a new one within the limit, or waits for one until ctx ends.
-func (p *connPool) acquire(ctx context.Context) (*pooledConn, error) {
+// acquire returns the most recently used idle connection, or a new one within the limit, or waits for one until ctx ends or the
+// attempt is withdrawn.
+func (p *connPool) acquire(ctx context.Context, permit *samphirepass.SendPermit) (*pooledConn, error) {
 	p.mu.Lock()
 	if n := len(p.idle); n > 0 {
 		pc := p.idle[n-1]
@@ -67,9 +68,16 @@
 	wait := make(chan *pooledConn, 1)
 	p.waiters = append(p.waiters, wait)
 	p.mu.Unlock()
+	var withdrawn <-chan struct{}
+	if permit != nil {
+		withdrawn = permit.Withdrawn()
+	}
 	select {
 	case pc := <-wait:
 		return pc, p.awaitReopen(ctx, pc)
+	case <-withdrawn:
+		p.cancelWait(wait)
+		return nil, errWithdrawn
 	case <-ctx.Done():
 		p.cancelWait(wait)
 		return nil, ctx.Err()
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -198,7 +198,7 @@
 		return samphirepass.Attempt{
 			Request: delivery.Request.ID, Service: delivery.Shards[shard], Forwarded: &delivery.Request.Forwarded,
 			AtMostOnce: opts.atMostOnce, ExpectedMs: opts.expected,
-			DeadlineMs: delivery.Request.DeadlineMs - (d.clock.Now() - began),
+			ExpiresAtMs: began + delivery.Request.DeadlineMs,
 		}
 	}
 	f := newFanOut(ctx, d.fanOutDeps, opts, leaves, began)
@@ -209,7 +209,7 @@
 		}
 	}
 	result.LastErr, result.LastLeaf = f.lastErr, f.lastLeaf
-	result.Answered, result.Failure, result.MaybeRun = f.answeredShards, f.failure, f.maybeRun || f.attemptsInFlight() > 0
+	result.Answered, result.Failure, result.MaybeRun = f.answeredShards, f.failure, f.maybeRun || f.mayStillRun
 	result.CrossCentreAttempts = f.crossCentreAttempts
 	if delivery.Route.IsScatterGather() {
 		result.DegradedShards = f.degradedShards()
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -42,6 +42,8 @@
 	partial bool
 	reply   samphirepass.Reply
 	items   []samphirepass.Item
+	// permits holds one element for each attempt.
+	permits []*samphirepass.SendPermit
 	// cancels holds one function for each attempt; it is only filled if cancelDelay is 0.
 	cancels []context.CancelCauseFunc
 }
@@ -67,7 +69,7 @@
 	maxAttempts int
 	// atMostOnce allows another attempt only if the leaf certainly did not run the previous one.
 	atMostOnce bool
-	// newAttempt returns an attempt with the deadline that remains now.
+	// newAttempt returns an attempt without its permit.
 	newAttempt func(shard int) samphirepass.Attempt
 	// decode parses a reply in an attempt's own goroutine; it may be nil.
 	decode func(r *attemptResult) error
@@ -112,6 +114,8 @@
 	late bool
 	// maybeRun is set once an attempt has failed that the leaf may have run.
 	maybeRun bool
+	// mayStillRun is set if an attempt had been sent and was not answered when the fan-out ended.
+	mayStillRun bool
 	// lastErr is the error of the most recent failed attempt, lastLeaf the leaf that it was sent to.
 	lastErr  error
 	lastLeaf samphirepass.Leaf
@@ -132,6 +136,7 @@
 	var cancel context.CancelCauseFunc
 	f.attemptCtx, cancel = context.WithCancelCause(context.WithoutCancel(f.ctx))
 	defer f.cancelRemaining(cancel)
+	defer f.withdrawUnsent()
 	f.timer = time.NewTimer(time.Hour)
 	defer f.timer.Stop()
 	f.recordPrimaries()
@@ -187,6 +192,25 @@
 	time.AfterFunc(delay.Duration(), func() { cancel(samphirepass.ErrSuperseded) })
 }
 
+// withdrawUnsent withdraws the attempts that still wait for a connection, whose answers nobody needs any more.
+func (f *fanOut) withdrawUnsent() {
+	for i := range f.shards {
+		s := &f.shards[i]
+		if s.inFlight > 0 && !s.withdraw() {
+			f.mayStillRun = true
+		}
+	}
+}
+
+// withdraw withdraws the unsent attempts on a shard, and reports whether none has been sent.
+func (s *shardState) withdraw() bool {
+	unsent := true
+	for _, p := range s.permits {
+		unsent = p.Withdraw() && unsent
+	}
+	return unsent
+}
+
 // attemptsInFlight counts the attempts in flight on all shards.
 func (f *fanOut) attemptsInFlight() int {
 	n := 0
--- a/leaf/gather.go
+++ b/leaf/gather.go
@@ -130,7 +130,7 @@
 		newAttempt: func(shard int) samphirepass.Attempt {
 			return samphirepass.Attempt{
 				Request: samphirepass.RequestID(uuid.NewString()), Service: r.Service, Snapshot: plan.Snapshot,
-				Shard: samphirepass.Shard(shard), Body: r.Body, DeadlineMs: r.DeadlineMs - replyReserveMs - (g.clock.Now() - began),
+				Shard: samphirepass.Shard(shard), Body: r.Body, ExpiresAtMs: began + r.DeadlineMs - replyReserveMs,
 			}
 		},
 	}
--- a/leaf/gather_test.go
+++ b/leaf/gather_test.go
@@ -32,6 +32,9 @@
 	n := s.counts[to.Leaf]
 	s.counts[to.Leaf]++
 	s.mu.Unlock()
+	if !a.Permit.Use() {
+		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent)
+	}
 	return s.answer(ctx, to.Leaf, n, a)
 }
 
--- a/leaf/preconnect_test.go
+++ b/leaf/preconnect_test.go
@@ -55,7 +55,7 @@
 			}()
 			require.Eventually(t, func() bool { return opened.Load() == 1 }, 5*time.Second, 5*time.Millisecond)
 			time.Sleep(50 * time.Millisecond)
-			_, err = leaf.NewSender(pool, leaf.Native{}, clock).Send(ctx, a, samphirepass.Attempt{Request: "q", DeadlineMs: 500})
+			_, err = leaf.NewSender(pool, leaf.Native{}, clock).Send(ctx, a, samphirepass.Attempt{Request: "q", ExpiresAtMs: clock.Now() + 500})
 			var failure *samphirepass.AttemptError
 			require.ErrorAs(t, err, &failure)
 			require.Equal(t, samphirepass.FailureShed, failure.Kind, "the leaf's own refusal, not a failed connection")
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -8,12 +8,21 @@
 	"strconv"
 	"strings"
 
+	"github.com/rotisserie/eris"
+
 	"samphirepass"
 )
 
 // maxReplyBytes bounds the body of a leaf's reply.
 const maxReplyBytes = 16 << 20
 
+var (
+	// errExpired means that the deadline of an attempt passed before it could be sent.
+	errExpired = eris.New("the deadline passed before the request was sent")
+	// errWithdrawn means that the answer to an attempt was no longer needed before it could be sent.
+	errWithdrawn = eris.New("the answer is no longer needed")
+)
+
 // Sender sends attempts over the connections of a Pool.
 type Sender struct {
 	pool     *Pool
@@ -60,6 +69,8 @@
 	case kind == samphirepass.FailureShed:
 		t.recordShed(now)
 	case kind == samphirepass.FailureGone:
+	case errors.Is(err, errWithdrawn):
+		t.recordMinLatency(now, took, att.expected)
 	case errors.Is(context.Cause(ctx), samphirepass.ErrSuperseded):
 		t.recordFailure(now)
 		t.recordMinLatency(now, took, att.expected)
@@ -71,7 +82,7 @@
 }
 
 func (s *Sender) send(ctx context.Context, t *target, to samphirepass.Announcement, a samphirepass.Attempt) (samphirepass.Reply, error) {
-	pc, err := t.conns.acquire(ctx)
+	pc, err := t.conns.acquire(ctx, a.Permit)
 	if err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("wait for a connection: %w", err))
 	}
@@ -82,11 +93,14 @@
 	}
 	reused := pc.conn != nil
 	reply, err := s.exchange(ctx, t, pc, to, a)
-	if reused && ctx.Err() == nil && isNotSent(err) {
+	if reused && ctx.Err() == nil && errors.Is(err, errNotWritten) {
 		// The leaf may have closed the idle connection, so the attempt goes out on a new one.
 		pc.close()
 		reply, err = s.exchange(ctx, t, pc, to, a)
 	}
+	if errors.Is(err, errExpired) || errors.Is(err, errWithdrawn) {
+		return reply, err
+	}
 	if err != nil {
 		pc.failedAtMs = s.clock.Now()
 		if isMismatch(err) {
@@ -105,12 +119,21 @@
 		defer cancel(nil)
 		defer s.watchSilence(ctx, cancel, t).Stop()
 	}
-	remaining := max(a.DeadlineMs-t.currentNetworkLatency(), 0)
+	if err := pc.connect(ctx, to.Address); err != nil {
+		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("send to %s: %w", to.Leaf, err))
+	}
+	remaining := a.ExpiresAtMs - s.clock.Now() - t.currentNetworkLatency()
+	switch {
+	case remaining <= 0:
+		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errExpired)
+	case a.Permit != nil && !a.Permit.Use():
+		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errWithdrawn)
+	}
 	req, err := s.protocol.Request(ctx, to, a, remaining)
 	if err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, err)
 	}
-	resp, body, err := pc.roundTrip(ctx, to.Address, req, maxReplyBytes)
+	resp, body, err := pc.roundTrip(ctx, req, maxReplyBytes)
 	if err != nil {
 		kind := samphirepass.FailureLost
 		switch {
@@ -139,12 +162,6 @@
 	return samphirepass.Millis(n) * 1000
 }
 
-// isNotSent reports whether an attempt failed before a byte of it was sent.
-func isNotSent(err error) bool {
-	var failure *samphirepass.AttemptError
-	return errors.As(err, &failure) && failure.Kind == samphirepass.FailureNotSent
-}
-
 // isMismatch reports whether the answer did not belong to the attempt, after which the connection cannot be trusted.
 func isMismatch(err error) bool {
 	var failure *samphirepass.AttemptError
--- a/leaf/sender_test.go
+++ b/leaf/sender_test.go
@@ -31,7 +31,7 @@
 
 func newAttempt(id string, key samphirepass.RunKey) samphirepass.Attempt {
 	return samphirepass.Attempt{
-		Request: samphirepass.RequestID(id), Service: "desk", Snapshot: 1, Key: key, DeadlineMs: 2000, Body: []byte(`{"n":1}`),
+		Request: samphirepass.RequestID(id), Service: "desk", Snapshot: 1, Key: key, ExpiresAtMs: samphirepass.SystemClock{}.Now() + 2000, Body: []byte(`{"n":1}`),
 	}
 }
 
--- a/leaf/warm.go
+++ b/leaf/warm.go
@@ -88,7 +88,10 @@
 	if req == nil {
 		return nil
 	}
-	if _, _, err := pc.roundTrip(ctx, t.address, req, maxLoadBytes); err != nil {
+	if err := pc.connect(ctx, t.address); err != nil {
+		return err
+	}
+	if _, _, err := pc.roundTrip(ctx, req, maxLoadBytes); err != nil {
 		return fmt.Errorf("send probe: %w", err)
 	}
 	return nil
