peer: Count the time of a request on its way against its deadline

Cause: a request's time left was counted from its receipt, so a request that waited in the sender's queue, on the link or before the receiver read it was handled with time that its caller no longer had; the cancel message waits in the same queues. Heartbeats were timed by the wall clock, so a step of more than 1.5 s closed every peer connection of the VM (read from the code; no run showed it). Change: frames carry when they were queued on the sender's steady clock. The receiver takes the fastest frame of the last windows as no delay, so no synchronised clocks are needed, refuses as not run what has no time left, and takes the delay off the deadline; a collector takes it off the delivery. All times of a connection come from the steady clock.

--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -187,6 +187,19 @@
 	require.Len(t, ownDeliverer.calls(), 1, "a request to a single service is delivered locally")
 }
 
+// TestProofDelayToCollectorShortensDelivery guards against counting the times of a delivery from its receipt by the collector.
+func TestProofDelayToCollectorShortensDelivery(t *testing.T) {
+	tc := startCollector(t, 0)
+	small, _ := startEntry(t, tc)
+	require.Equal(t, 3, small.Deliver(t.Context(), scatterGatherDelivery()).Answered)
+	tc.relay.SetDelay(200)
+	delivery := scatterGatherDelivery()
+	small.Deliver(t.Context(), delivery)
+	got := tc.deliverer.calls()[1]
+	require.Less(t, got.Request.DeadlineMs, delivery.Request.DeadlineMs-150)
+	require.Less(t, got.PartialAfterMs, delivery.PartialAfterMs-100)
+}
+
 func TestUnavailableCollectorIsSkipped(t *testing.T) {
 	tests := map[string]func(*testCollector){
 		"stopping":    func(c *testCollector) { c.stopping.Store(true) },
--- a/collector/server.go
+++ b/collector/server.go
@@ -48,6 +48,8 @@
 		s.log.RequestEvent("Collect request refused.", "request", d.Request.ID, "running", inFlight, "limit", maxInFlight)
 		return collectReply{}, samphirepass.Refuse(samphirepass.CodeOverloaded, "%d requests are being collected", inFlight)
 	}
+	// The times of the delivery count from its sending.
+	d = withElapsed(d, peer.Age(ctx))
 	ctx, cancel := context.WithTimeout(ctx, d.Request.DeadlineMs.Duration())
 	defer cancel()
 	result := s.deliverer.Deliver(ctx, d)
--- a/peer/client.go
+++ b/peer/client.go
@@ -59,7 +59,7 @@
 	if c.conn == nil || c.conn.closed() {
 		return 0, false
 	}
-	return samphirepass.MillisOf(time.Since(time.Unix(0, c.conn.lastRead.Load()))), true
+	return c.conn.clock.Now() - c.conn.lastRead.load(), true
 }
 
 // Preconnect starts to connect in the background and does not wait. It does nothing if the client is connected, connecting or
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,14 @@
 	Refusal   *samphirepass.Refusal `codec:"e,omitempty"`
 	// Cancel cancels request ID: its sender no longer waits for the reply.
 	Cancel bool `codec:"c,omitempty"`
+	// SentAtMs is when the frame was queued, on the sender's clock.
+	SentAtMs samphirepass.Millis `codec:"s,omitempty"`
+}
+
+// received is a frame with its time of receipt and its delay in transit.
+type received struct {
+	frame
+	at, transit samphirepass.Millis
 }
 
 // conn is one WebSocket connection with a write loop, a read loop and heartbeats.
@@ -52,10 +61,11 @@
 	sendQueue chan []byte
 	done      chan struct{}
 	closeOnce sync.Once
-	// lastRead is when the last frame was received, or else when the connection was opened, in Unix nanoseconds.
-	lastRead atomic.Int64
-	// lastSent is when the last frame was queued, in Unix nanoseconds. A heartbeat is skipped shortly after another frame.
-	lastSent atomic.Int64
+	clock     samphirepass.SystemClock
+	// lastRead is when the last frame was received, or else when the connection was opened.
+	lastRead atomicMillis
+	// lastSent is when the last frame was queued. A heartbeat is skipped shortly after another frame.
+	lastSent atomicMillis
 	nextID   atomic.Uint64
 
 	mu sync.Mutex
@@ -65,13 +75,22 @@
 	incoming map[uint64]context.CancelFunc
 }
 
+// atomicMillis is a time that several goroutines read and write.
+type atomicMillis struct{ bits atomic.Uint64 }
+
+func (a *atomicMillis) store(ms samphirepass.Millis) { a.bits.Store(math.Float64bits(float64(ms))) }
+
+func (a *atomicMillis) load() samphirepass.Millis {
+	return samphirepass.Millis(math.Float64frombits(a.bits.Load()))
+}
+
 func newConn(ws *websocket.Conn, h *Handlers) *conn {
 	ws.SetReadLimit(maxFrameBytes)
 	c := &conn{
 		ws: ws, handlers: h, sendQueue: make(chan []byte, sendQueueFrames),
 		done: make(chan struct{}), pending: map[uint64]chan frame{}, incoming: map[uint64]context.CancelFunc{},
 	}
-	c.lastRead.Store(time.Now().UnixNano())
+	c.lastRead.store(c.clock.Now())
 	return c
 }
 
@@ -129,11 +148,11 @@
 	for {
 		select {
 		case <-t.C:
-			if time.Since(time.Unix(0, c.lastRead.Load())) > HeartbeatTimeoutMs.Duration() {
+			if c.clock.Now()-c.lastRead.load() > HeartbeatTimeoutMs {
 				c.close()
 				return
 			}
-			if time.Since(time.Unix(0, c.lastSent.Load())) >= HeartbeatIntervalMs.Duration()/2 {
+			if c.clock.Now()-c.lastSent.load() >= HeartbeatIntervalMs/2 {
 				// A failed send closes the connection, which ends this loop.
 				_ = c.send(frame{})
 			}
@@ -144,24 +163,28 @@
 }
 
 func (c *conn) readLoop(ctx context.Context) {
+	var delay transitDelay
 	for {
 		_, b, err := c.ws.Read(ctx)
 		if err != nil {
 			return
 		}
-		c.lastRead.Store(time.Now().UnixNano())
-		var f frame
-		if err := cbor.Unmarshal(b, &f); err != nil {
+		r := received{at: c.clock.Now()}
+		c.lastRead.store(r.at)
+		if err := cbor.Unmarshal(b, &r.frame); err != nil {
 			return
 		}
-		c.dispatch(ctx, f)
+		if r.SentAtMs > 0 {
+			r.transit = delay.observe(r.SentAtMs, r.at)
+		}
+		c.dispatch(ctx, r)
 	}
 }
 
-func (c *conn) dispatch(ctx context.Context, f frame) {
+func (c *conn) dispatch(ctx context.Context, f received) {
 	switch {
 	case f.Reply:
-		c.deliverReply(f)
+		c.deliverReply(f.frame)
 	case f.Cancel:
 		c.cancelIncoming(f.ID)
 	case f.Kind == "":
@@ -197,15 +220,21 @@
 	}
 }
 
-func (c *conn) handle(ctx context.Context, f frame) {
+func (c *conn) handle(ctx context.Context, f received) {
 	defer c.cancelIncoming(f.ID)
+	age := f.transit + c.clock.Now() - f.at
+	reply := frame{ID: f.ID, Reply: true}
+	if f.TimeoutMs > 0 && age >= f.TimeoutMs {
+		reply.Refusal = samphirepass.Refuse(samphirepass.CodeDeadline, "the request took %.0f ms to arrive, of the %.0f ms that it had", age, f.TimeoutMs)
+		_ = c.send(reply)
+		return
+	}
 	if f.TimeoutMs > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, f.TimeoutMs.Duration())
+		ctx, cancel = context.WithTimeout(ctx, (f.TimeoutMs - age).Duration())
 		defer cancel()
 	}
-	reply := frame{ID: f.ID, Reply: true}
-	body, err := c.handlers.call(ctx, f.Kind, f.Body)
+	body, err := c.handlers.call(context.WithValue(ctx, ageKey{}, age), f.Kind, f.Body)
 	reply.Body = body
 	if err != nil {
 		reply.Refusal = samphirepass.AsRefusal(err)
@@ -218,13 +247,14 @@
 
 // send queues a frame without waiting. If the queue is full it closes the connection.
 func (c *conn) send(f frame) error {
+	f.SentAtMs = c.clock.Now()
 	b, err := cbor.Marshal(f)
 	if err != nil {
 		return fmt.Errorf("encode frame: %w", err)
 	}
 	select {
 	case c.sendQueue <- b:
-		c.lastSent.Store(time.Now().UnixNano())
+		c.lastSent.store(f.SentAtMs)
 		return nil
 	case <-c.done:
 		return ErrLost
