leaf, peer, web, daemon: Bound answers without end, contain panics, finish answers at a stop

Everything before the body of a leaf's answer was read without a bound, and each body up to 16 MB whatever came beside it. A panic in a handler of a peer's message or in the decoding of an answer ended the process. A stop closed peer connections right after the last request was handled, so an answer in the queue or in transit was cut off. Each stop wrote error lines with pointers in place of names. Change: 64 KiB for all that comes before a body; bodies up to 8 MiB, their memory taken as bytes arrive and 16 MiB for all that are being read; heads of requests at 128 KiB and of handshakes at 16 KiB. Panics fail their message or attempt and are logged. Drain waits until answers are written and asks each peer whether it has read them. Services have names, and a planned stop logs no failure. Without Drain the long answer of the stop test is lost.

--- a/collector/server.go
+++ b/collector/server.go
@@ -32,13 +32,9 @@
 	peer.HandleCall(h, kindCollect, s.collect)
 }
 
-// InFlight returns the number of requests that are being collected.
-func (s *Server) InFlight() int64 { return s.inFlight.Load() }
-
 func (s *Server) collect(ctx context.Context, req collectRequest) (collectReply, error) {
 	d := req.Delivery
 	d.Route.ShardServices = d.Shards
-	// Counted before the check for stopping, so that a shutdown that has seen no request in flight misses none.
 	inFlight := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	if s.stopping() {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -43,7 +43,7 @@
 		VM: cfg.VM, Address: cfg.Peer, Members: cfg.Members(), Seats: cfg.EntrySeats, Files: folder,
 		Clock: samphirepass.SystemClock{}, Peers: c.peers, SnapshotEntries: cfg.SnapshotEntries, Log: log.For("control").Infof,
 	})
-	handlers := peer.NewHandlers()
+	handlers := newHandlers(log)
 	c.node.Register(handlers)
 	c.peerWS = peer.NewServer(handlers)
 	peerMux := http.NewServeMux()
@@ -77,9 +77,7 @@
 	log := c.log.For("control")
 	serveCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	supervisor := suture.New("control", suture.Spec{EventHook: func(ev suture.Event) { log.Errorf("Supervisor: %s.", ev) }})
-	supervisor.Add(c.api)
-	supervisor.Add(c.peerHTTP)
+	supervisor := newSupervisor(serveCtx, "control", log, map[string]suture.Service{"api server": c.api, "peer server": c.peerHTTP})
 	supervisorDone := supervisor.ServeBackground(serveCtx)
 	// The node is not restarted: what a failed disk holds is unknown until the process restarts.
 	nodeErr := make(chan error, 1)
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -108,7 +108,7 @@
 }
 
 func (e *Entry) listen() error {
-	handlers := peer.NewHandlers()
+	handlers := newHandlers(e.log)
 	e.peerSyncer.Register(handlers)
 	e.peerWS = peer.NewServer(handlers)
 	peerMux := http.NewServeMux()
@@ -165,10 +165,9 @@
 	log := e.log.For("entry")
 	serveCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	supervisor := suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) { log.Errorf("Supervisor: %s.", ev) }})
-	for _, s := range []suture.Service{e.syncer, e.peerSyncer, e.warmer, e.api, e.peerHTTP} {
-		supervisor.Add(s)
-	}
+	supervisor := newSupervisor(serveCtx, "entry", log, map[string]suture.Service{
+		"configuration syncer": e.syncer, "peer syncer": e.peerSyncer, "connection warmer": e.warmer, "api server": e.api, "peer server": e.peerHTTP,
+	})
 	supervisorDone := supervisor.ServeBackground(serveCtx)
 	log.Infof("Serving on %s.", e.api.Address())
 	<-ctx.Done()
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -36,8 +36,6 @@
 	// collectorSlackFraction is the fraction of a retry budget's slack that collectors share. Collectors are gateways to which smaller
 	// gateways forward scatter-gather requests.
 	collectorSlackFraction = 0.8
-	// collectPollIntervalMs is the interval at which a shutdown checks for requests that are still being collected.
-	collectPollIntervalMs samphirepass.Millis = 20
 	// refreshIntervalMs is the interval between updates of the connection limits.
 	refreshIntervalMs samphirepass.Millis = 1000
 	// extraPercent is the percentage of hedges and retries that the hedgers are tuned for; the retry budget bounds them in any case.
@@ -109,7 +107,7 @@
 		return fmt.Errorf("listen for the balancer: %w", err)
 	}
 	if g.cfg.CollectPort != 0 {
-		handlers := peer.NewHandlers()
+		handlers := newHandlers(g.log)
 		g.collectorServer.Register(handlers)
 		g.peerWS = peer.NewServer(handlers)
 		peerMux := http.NewServeMux()
@@ -208,18 +206,17 @@
 	log := g.log.For("gateway")
 	serveCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	supervisor := suture.New("gateway", suture.Spec{EventHook: func(ev suture.Event) { log.Errorf("Supervisor: %s.", ev) }})
-	for _, s := range []suture.Service{
-		g.follower,
-		connectionRefresher{g},
-		leaf.NewPreconnector(g.registry, g.pool, routingShares{g}.wantsPreconnect),
-		g.clientServer, g.readinessServer, g.metricsServer,
-	} {
-		supervisor.Add(s)
-	}
-	supervisor.Add(g.collectorClient)
+	supervisor := newSupervisor(serveCtx, "gateway", log, map[string]suture.Service{
+		"directory follower":   g.follower,
+		"connection refresher": connectionRefresher{g},
+		"preconnector":         leaf.NewPreconnector(g.registry, g.pool, routingShares{g}.wantsPreconnect),
+		"client server":        g.clientServer,
+		"readiness server":     g.readinessServer,
+		"metrics server":       g.metricsServer,
+		"collector client":     g.collectorClient,
+	})
 	if g.peerHTTP != nil {
-		supervisor.Add(g.peerHTTP)
+		supervisor.Add(namedService{g.peerHTTP, "peer server"})
 	}
 	supervisorDone := supervisor.ServeBackground(serveCtx)
 	log.Event("Started.", "front", g.clientServer.Address(), "ready", g.readinessServer.Address(), "seeds", g.cfg.Seeds)
@@ -248,8 +245,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), (remainingMs - noticeMs).Duration())
 	defer cancel()
 	err := g.clientServer.Drain(ctx, stopMarginMs)
-	for g.collectorServer.InFlight() > 0 && ctx.Err() == nil {
-		time.Sleep(collectPollIntervalMs.Duration())
+	if g.peerWS != nil {
+		g.peerWS.Drain(ctx)
 	}
 	g.pool.Close()
 	if err != nil {
--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -60,7 +60,7 @@
 	clock := samphirepass.SystemClock{}
 	r := &Registrar{
 		cfg: cfg, log: log, clock: clock, registry: leaf.NewRegistry(clock), peers: &peer.Pool{LocalAddr: cfg.LocalIP()},
-		handlers: peer.NewHandlers(), metrics: metrics.NewMetrics(),
+		handlers: newHandlers(log), metrics: metrics.NewMetrics(),
 	}
 	r.source = directory.NewSource(directory.SourceOptions{
 		Self: directory.Endpoint{Address: cfg.PeerAddress(), DataCentre: cfg.DataCentre}, Registry: r.registry, State: r, Clock: clock,
@@ -191,13 +191,16 @@
 	log := r.log.For("control")
 	serveCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	supervisor := suture.New("registrar", suture.Spec{EventHook: func(ev suture.Event) { log.Errorf("Supervisor: %s.", ev) }})
+	supervisor := newSupervisor(serveCtx, "registrar", log, map[string]suture.Service{
+		"directory follower": r.follower,
+		"leaf expirer":       leafExpirer{r.registry},
+		"api server":         r.api,
+		"peer server":        r.peerHTTP,
+		"metrics server":     r.metricsServer,
+	})
 	if r.cfg.DataFolder != "" {
 		r.addLeafCache(supervisor)
 	}
-	for _, s := range []suture.Service{r.follower, leafExpirer{r.registry}, r.api, r.peerHTTP, r.metricsServer} {
-		supervisor.Add(s)
-	}
 	supervisorDone := supervisor.ServeBackground(serveCtx)
 	log.Event("Started.", "control", r.api.Address(), "peers", r.peerHTTP.Address(), "seeds", r.cfg.Seeds, "found", r.cfg.AllowBootstrap, "data-folder", r.cfg.DataFolder)
 	memberDone := make(chan struct{})
@@ -233,7 +236,7 @@
 	}
 	cache := directory.NewDiskCache(folder, r.registry, r.source, log.Infof)
 	cache.Load()
-	supervisor.Add(cache)
+	supervisor.Add(namedService{cache, "leaf cache"})
 }
 
 // superviseMember runs the member of the replicated log, if there is a data folder, and reopens it after a disk failure.
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -5,6 +5,8 @@
 	"errors"
 	"slices"
 
+	"github.com/rotisserie/eris"
+
 	"samphirepass"
 	"samphirepass/policy"
 )
@@ -83,12 +85,18 @@
 func (f *fanOut) sendAttempt(ctx context.Context, shard int, reg Registration, a samphirepass.Attempt) {
 	began := f.clock.Now()
 	r := attemptResult{shard: shard, leaf: reg.Leaf}
+	defer func() {
+		// An answer that a decoder cannot cope with fails the attempt, not the process.
+		if reason := recover(); reason != nil {
+			r.err = attemptError(samphirepass.FailureLost, eris.Errorf("attempt on %s panicked: %v", reg.Leaf, reason))
+		}
+		r.took = f.clock.Now() - began
+		f.results <- r
+	}()
 	r.reply, r.err = f.sender.Send(ctx, reg.Announcement, a)
 	if r.err == nil && f.decode != nil {
 		r.err = f.decode(&r)
 	}
-	r.took = f.clock.Now() - began
-	f.results <- r
 }
 
 func (f *fanOut) handleResult(r attemptResult) {
--- a/leaf/conn.go
+++ b/leaf/conn.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -49,8 +48,10 @@
 // One goroutine uses it at a time. It does not go through http.Transport, so that an attempt needs no switches between goroutines,
 // nothing is ever sent twice, and it is known whether a byte was sent.
 type pooledConn struct {
-	conn   net.Conn
-	reader *bufio.Reader
+	conn net.Conn
+	// bounded limits what reader reads from conn.
+	bounded boundedReader
+	reader  *bufio.Reader
 	// failedAtMs is the time of the last failed request, 0 before the first.
 	failedAtMs samphirepass.Millis
 	// answeredAtMs is the time of the last answer, 0 before the first.
@@ -75,10 +76,11 @@
 		return fmt.Errorf("dial leaf: %w", err)
 	}
 	pc.conn = c
+	pc.bounded = boundedReader{source: c}
 	if pc.reader == nil {
-		pc.reader = bufio.NewReaderSize(c, readBufferBytes)
+		pc.reader = bufio.NewReaderSize(&pc.bounded, readBufferBytes)
 	} else {
-		pc.reader.Reset(c)
+		pc.reader.Reset(&pc.bounded)
 	}
 	return nil
 }
@@ -94,7 +96,7 @@
 
 // roundTrip sends a request once, on the open connection, and returns the whole answer. It closes the connection unless another
 // request may follow. Its error wraps errNotWritten if no byte of the request was sent.
-func (pc *pooledConn) roundTrip(ctx context.Context, req *http.Request, maxBody int64) (*http.Response, []byte, error) {
+func (pc *pooledConn) roundTrip(ctx context.Context, req *http.Request, limits answerLimits) (*http.Response, []byte, error) {
 	conn := pc.conn
 	stop := context.AfterFunc(ctx, func() {
 		// It only fails on a connection that is closed already.
@@ -104,7 +106,7 @@
 	var resp *http.Response
 	var body []byte
 	if err == nil {
-		resp, body, err = pc.read(req, maxBody)
+		resp, body, err = pc.read(req, limits)
 	}
 	// No other request may follow one that was still being written when its answer arrived.
 	written := false
@@ -147,46 +149,6 @@
 	return done, nil
 }
 
-// read returns the whole answer to the request, past any informational (1xx) ones.
-func (pc *pooledConn) read(req *http.Request, maxBody int64) (*http.Response, []byte, error) {
-	for {
-		resp, err := http.ReadResponse(pc.reader, req)
-		if err != nil {
-			return nil, nil, fmt.Errorf("read answer: %w", err)
-		}
-		if resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue
-		}
-		body, err := readBody(resp, maxBody)
-		if err != nil {
-			return nil, nil, err
-		}
-		return resp, body, nil
-	}
-}
-
-func readBody(resp *http.Response, maxBody int64) ([]byte, error) {
-	defer resp.Body.Close()
-	if resp.ContentLength > maxBody {
-		return nil, eris.Errorf("read answer's body: Content-Length %d exceeds the limit", resp.ContentLength)
-	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		if _, err := io.ReadFull(resp.Body, body); err != nil {
-			return nil, fmt.Errorf("read answer's body: %w", err)
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err == nil && int64(len(body)) > maxBody {
-		err = eris.Errorf("body exceeds the limit of %d bytes", maxBody)
-	}
-	if err != nil {
-		return nil, fmt.Errorf("read answer's body: %w", err)
-	}
-	return body, nil
-}
-
 // isAlive reports whether an idle connection has neither been closed by the peer nor received bytes that belong to no request.
 func isAlive(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
--- a/leaf/deliver_test.go
+++ b/leaf/deliver_test.go
@@ -160,6 +160,20 @@
 	require.Less(t, took, 100*time.Millisecond)
 }
 
+// TestProofPanicFailsItsAttemptOnly guards against an answer that ends the process because its decoder panics.
+func TestProofPanicFailsItsAttemptOnly(t *testing.T) {
+	s := &scriptedSender{answer: func(_ context.Context, to samphirepass.Leaf, _ int, _ samphirepass.Attempt) (samphirepass.Reply, error) {
+		if to == "0-0" {
+			panic("index out of range")
+		}
+		return okReply()
+	}}
+	d, _ := newDeliverer(s, &fixedBudget{remaining: 10})
+	result, _ := deliver(d, newDelivery(testRoute))
+	require.Equal(t, 3, result.Answered, "another leaf is asked")
+	require.ErrorContains(t, result.LastErr, "index out of range")
+}
+
 // TestAtMostOnceIsNeverRepeated guards against another attempt after one that the leaf may have run, for each kind of failure.
 func TestAtMostOnceIsNeverRepeated(t *testing.T) {
 	tests := map[string]struct {
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -9,13 +9,11 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/semaphore"
 
 	"samphirepass"
 )
 
-// maxReplyBytes bounds the body of a leaf's reply.
-const maxReplyBytes = 16 << 20
-
 var (
 	// errExpired means that the deadline of an attempt passed before it could be sent.
 	errExpired = eris.New("the deadline passed before the request was sent")
@@ -28,6 +26,7 @@
 	pool     *Pool
 	protocol samphirepass.LeafProtocol
 	clock    samphirepass.Clock
+	limits   answerLimits
 	// canProbe is set if the protocol has a request to check that an idle connection is alive.
 	canProbe bool
 }
@@ -38,7 +37,10 @@
 // NewSender returns a sender that uses the connections of pool and the given protocol.
 func NewSender(pool *Pool, protocol samphirepass.LeafProtocol, clock samphirepass.Clock) *Sender {
 	probe, err := protocol.Probe(context.Background(), placeholderAddress)
-	return &Sender{pool: pool, protocol: protocol, clock: clock, canProbe: err == nil && probe != nil}
+	return &Sender{
+		pool: pool, protocol: protocol, clock: clock, canProbe: err == nil && probe != nil,
+		limits: answerLimits{body: maxReplyBytes, memory: semaphore.NewWeighted(maxReadingBytes)},
+	}
 }
 
 // Send sends one attempt on one connection, once: it neither follows redirects nor repeats a request
@@ -48,8 +50,8 @@
 	began := s.clock.Now()
 	att := inFlightAttempt{startedAt: began, expected: a.ExpectedMs}
 	t.start(att)
+	defer t.finish(att)
 	reply, err := s.send(ctx, t, to, a)
-	t.finish(att)
 	s.record(ctx, t, att, reply, err)
 	return reply, err
 }
@@ -133,7 +135,7 @@
 	if err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, err)
 	}
-	resp, body, err := pc.roundTrip(ctx, req, maxReplyBytes)
+	resp, body, err := pc.roundTrip(ctx, req, s.limits)
 	if err != nil {
 		kind := samphirepass.FailureLost
 		switch {
--- a/leaf/warm.go
+++ b/leaf/warm.go
@@ -91,7 +91,7 @@
 	if err := pc.connect(ctx, t.address); err != nil {
 		return err
 	}
-	if _, _, err := pc.roundTrip(ctx, req, maxLoadBytes); err != nil {
+	if _, _, err := pc.roundTrip(ctx, req, answerLimits{body: maxLoadBytes}); err != nil {
 		return fmt.Errorf("send probe: %w", err)
 	}
 	return nil
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -1,6 +1,7 @@
 package logs
 
 import (
+	"io"
 	"os"
 	"sync/atomic"
 
@@ -31,10 +32,13 @@
 }
 
 // New returns a logger that writes to standard output and adds the name of the VM to each line.
-func New(vm string) Logger {
+func New(vm string) Logger { return NewTo(os.Stdout, vm) }
+
+// NewTo returns a logger that writes to out and adds the name of the VM to each line.
+func NewTo(out io.Writer, vm string) Logger {
 	l := &log.Logger{
 		Level: log.InfoLevel, TimeFormat: log.TimeFormatUnixMs,
-		Writer:  &log.AsyncWriter{ChannelSize: maxQueuedLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}},
+		Writer:  &log.AsyncWriter{ChannelSize: maxQueuedLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: out}},
 		Context: log.NewContext(nil).Str("vm", vm).Value(),
 	}
 	return Logger{logger: l, requestLimit: &requestLimit{limiter: rate.NewLimiter(requestLinesPerSecond, requestLineBurst)}}
--- a/peer/client.go
+++ b/peer/client.go
@@ -19,6 +19,9 @@
 // that a process that is not up yet is soon retried.
 const dialTimeoutMs samphirepass.Millis = 300
 
+// maxHandshakeBytes bounds the head of the answer to a handshake.
+const maxHandshakeBytes = 16 << 10
+
 // redialCooldownMs is the minimum time between a failed dial and the next one.
 const redialCooldownMs samphirepass.Millis = 100
 
@@ -45,7 +48,7 @@
 	if localAddr.IsValid() && !localAddr.IsUnspecified() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(localAddr, 0))
 	}
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHandshakeBytes}
 	return &Client{address: address, http: &http.Client{Transport: transport}}
 }
 
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -54,14 +54,22 @@
 	at, transit samphirepass.Millis
 }
 
+// queuedFrame is an encoded frame that waits to be written.
+type queuedFrame struct {
+	encoded []byte
+	reply   bool
+}
+
 // conn is one WebSocket connection with a write loop, a read loop and heartbeats.
 type conn struct {
 	ws        *websocket.Conn
 	handlers  *Handlers
-	sendQueue chan []byte
-	done      chan struct{}
-	closeOnce sync.Once
-	clock     samphirepass.SystemClock
+	sendQueue chan queuedFrame
+	// unanswered counts the requests of the other end whose replies have not been written.
+	unanswered atomic.Int64
+	done       chan struct{}
+	closeOnce  sync.Once
+	clock      samphirepass.SystemClock
 	// lastRead is when the last frame was received, or else when the connection was opened.
 	lastRead atomicMillis
 	// lastSent is when the last frame was queued. A heartbeat is skipped shortly after another frame.
@@ -87,7 +95,7 @@
 func newConn(ws *websocket.Conn, h *Handlers) *conn {
 	ws.SetReadLimit(maxFrameBytes)
 	c := &conn{
-		ws: ws, handlers: h, sendQueue: make(chan []byte, sendQueueFrames),
+		ws: ws, handlers: h, sendQueue: make(chan queuedFrame, sendQueueFrames),
 		done: make(chan struct{}), pending: map[uint64]chan frame{}, incoming: map[uint64]context.CancelFunc{},
 	}
 	c.lastRead.store(c.clock.Now())
@@ -130,11 +138,14 @@
 func (c *conn) writeLoop(ctx context.Context) {
 	for {
 		select {
-		case b := <-c.sendQueue:
-			if err := c.ws.Write(ctx, websocket.MessageBinary, b); err != nil {
+		case f := <-c.sendQueue:
+			if err := c.ws.Write(ctx, websocket.MessageBinary, f.encoded); err != nil {
 				c.close()
 				return
 			}
+			if f.reply {
+				c.unanswered.Add(-1)
+			}
 		case <-c.done:
 			return
 		}
@@ -195,6 +206,7 @@
 		c.mu.Lock()
 		c.incoming[f.ID] = cancel
 		c.mu.Unlock()
+		c.unanswered.Add(1)
 		go c.handle(ctx, f)
 	}
 }
@@ -253,7 +265,7 @@
 		return fmt.Errorf("encode frame: %w", err)
 	}
 	select {
-	case c.sendQueue <- b:
+	case c.sendQueue <- queuedFrame{encoded: b, reply: f.Reply}:
 		c.lastSent.store(f.SentAtMs)
 		return nil
 	case <-c.done:
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -41,6 +42,11 @@
 		notified <- message{Text: ctx.Err().Error()}
 		return message{}, ctx.Err()
 	})
+	peer.HandleCall(h, "panic", func(context.Context, message) (message, error) { panic("no such thing") })
+	peer.HandleNotify(h, "panic", func(message) { panic("no such thing") })
+	h.OnPanic = func(kind string, reason any, _ []byte) {
+		notified <- message{Text: fmt.Sprintf("%s: %v", kind, reason)}
+	}
 	peer.HandleNotify(h, "notify", func(m message) { notified <- m })
 	peerServer := peer.NewServer(h)
 	mux := http.NewServeMux()
@@ -81,6 +87,50 @@
 	})
 }
 
+// TestProofPanicFailsItsMessageOnly guards against a message whose handler panics ending the process, or the connection.
+func TestProofPanicFailsItsMessageOnly(t *testing.T) {
+	c, _, notified := startServer(t)
+	err := c.Call(withTimeout(t, 5*time.Second), "panic", message{}, &message{})
+	require.Equal(t, samphirepass.CodeOutcomeUnknown, samphirepass.AsRefusal(err).Code)
+	require.False(t, samphirepass.AsRefusal(err).NotRun, "the handler may have had an effect before it panicked")
+	require.Equal(t, "panic: no such thing", (<-notified).Text)
+	c.Notify("panic", message{})
+	require.Equal(t, "panic: no such thing", (<-notified).Text)
+	var reply message
+	require.NoError(t, c.Call(withTimeout(t, 5*time.Second), "echo", message{N: 1}, &reply))
+	require.Equal(t, 1, reply.N)
+}
+
+// TestProofDrainWritesAnswers guards against a planned stop that closes a connection while an answer is still being written.
+func TestProofDrainWritesAnswers(t *testing.T) {
+	const answerBytes = 8 << 20
+	h := peer.NewHandlers()
+	handled := make(chan struct{})
+	peer.HandleCall(h, "long", func(context.Context, message) (message, error) {
+		time.AfterFunc(time.Millisecond, func() { close(handled) })
+		return message{Text: strings.Repeat("x", answerBytes)}, nil
+	})
+	server := peer.NewServer(h)
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, server)
+	httpServer := httptest.NewServer(mux)
+	defer httpServer.Close()
+	relay, err := standin.NewRelay("127.0.0.1:0", strings.TrimPrefix(httpServer.URL, "http://"))
+	require.NoError(t, err)
+	defer relay.Close()
+	relay.SetDelay(2)
+	pool := &peer.Pool{}
+	defer pool.Close()
+	go func() {
+		<-handled
+		server.Drain(withTimeout(t, 10*time.Second))
+		server.Close()
+	}()
+	var reply message
+	require.NoError(t, pool.Get(relay.Address()).Call(withTimeout(t, 10*time.Second), "long", message{}, &reply))
+	require.Len(t, reply.Text, answerBytes)
+}
+
 // TestConnectionsArriveWhileTheServerCloses connects peers while their server closes. If Close did not reject connections that
 // arrive meanwhile, counting them would race with its wait, which the race detector reports.
 func TestConnectionsArriveWhileTheServerCloses(t *testing.T) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"runtime/debug"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/coder/websocket"
 
@@ -17,6 +21,10 @@
 
 // Handlers maps the kinds of requests and one-way messages to handlers. It is safe for concurrent use.
 type Handlers struct {
+	// OnPanic is called with the kind of a message whose handler panicked, the reason and the stack; it may be nil. It must be set
+	// before the handlers are used.
+	OnPanic func(kind string, reason any, stack []byte)
+
 	mu            sync.RWMutex
 	calls         map[string]func(ctx context.Context, body []byte) (any, error)
 	notifications map[string]func(body []byte)
@@ -56,10 +64,17 @@
 	}
 }
 
-func (h *Handlers) call(ctx context.Context, kind string, body []byte) ([]byte, error) {
+// call handles a request. A handler that panics fails only its request, whose outcome is unknown.
+func (h *Handlers) call(ctx context.Context, kind string, body []byte) (reply []byte, err error) {
 	h.mu.RLock()
 	f := h.calls[kind]
 	h.mu.RUnlock()
+	defer func() {
+		if reason := recover(); reason != nil {
+			h.reportPanic(kind, reason)
+			err = samphirepass.RefuseUnknown("the handler of %s failed", kind)
+		}
+	}()
 	if f == nil {
 		return nil, samphirepass.Refuse(samphirepass.CodeNotFound, "no request of kind %q", kind)
 	}
@@ -78,11 +93,22 @@
 	h.mu.RLock()
 	f := h.notifications[kind]
 	h.mu.RUnlock()
+	defer func() {
+		if reason := recover(); reason != nil {
+			h.reportPanic(kind, reason)
+		}
+	}()
 	if f != nil {
 		f(body)
 	}
 }
 
+func (h *Handlers) reportPanic(kind string, reason any) {
+	if h.OnPanic != nil {
+		h.OnPanic(kind, reason, debug.Stack())
+	}
+}
+
 // Server accepts connections from peers.
 type Server struct {
 	handlers *Handlers
@@ -92,12 +118,20 @@
 	mu sync.Mutex
 	// closed rejects connections that arrive during Close.
 	closed bool
+	conns  map[*conn]bool
 	wg     sync.WaitGroup
 }
 
+const (
+	// drainPollMs is the interval at which Drain looks for requests that are not answered yet.
+	drainPollMs samphirepass.Millis = 5
+	// arrivalTimeoutMs bounds the wait for answers that are in transit.
+	arrivalTimeoutMs samphirepass.Millis = 500
+)
+
 // NewServer returns a server that handles requests and messages with h.
 func NewServer(h *Handlers) *Server {
-	s := &Server{handlers: h}
+	s := &Server{handlers: h, conns: map[*conn]bool{}}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
@@ -108,13 +142,13 @@
 	if err != nil {
 		return
 	}
-	if !s.addConn() {
+	c := newConn(ws, s.handlers)
+	if !s.addConn(c) {
 		// The other end sees the closed connection and sends its requests elsewhere.
 		_ = ws.CloseNow()
 		return
 	}
-	defer s.wg.Done()
-	c := newConn(ws, s.handlers)
+	defer s.removeConn(c)
 	go func() {
 		select {
 		case <-s.ctx.Done():
@@ -125,17 +159,63 @@
 	c.run(s.ctx)
 }
 
-// addConn counts a connection that Close waits for. It reports false if the server is closed or closing.
-func (s *Server) addConn() bool {
+// addConn adds a connection that Close waits for. It reports false if the server is closed or closing.
+func (s *Server) addConn(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return false
 	}
 	s.wg.Add(1)
+	s.conns[c] = true
 	return true
 }
 
+func (s *Server) removeConn(c *conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	s.wg.Done()
+}
+
+// Drain returns once the requests of all peers have been answered and the answers have arrived, or ctx ends. Requests that arrive
+// meanwhile are handled, too.
+func (s *Server) Drain(ctx context.Context) {
+	t := time.NewTicker(drainPollMs.Duration())
+	defer t.Stop()
+	for s.busy() {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+	// Closing a connection discards what is still in transit, so each peer is asked whether it has read everything.
+	ctx, cancel := context.WithTimeout(ctx, arrivalTimeoutMs.Duration())
+	defer cancel()
+	s.mu.Lock()
+	conns := slices.Collect(maps.Keys(s.conns))
+	s.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, c := range conns {
+		// Without an answer to the ping the peer is gone or too slow to wait for.
+		wg.Go(func() { _ = c.ws.Ping(ctx) })
+	}
+	wg.Wait()
+}
+
+// busy reports whether a request is not answered yet or an answer not written.
+func (s *Server) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.unanswered.Load() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Close closes all connections and waits until they have ended.
 func (s *Server) Close() {
 	s.cancel()
--- a/web/http.go
+++ b/web/http.go
@@ -19,6 +19,8 @@
 	headerTimeoutMs samphirepass.Millis = 5000
 	// drainPollMs is the interval at which Drain checks for open connections.
 	drainPollMs samphirepass.Millis = 20
+	// maxHeaderBytes bounds the line and the headers of a request. It is above what operators allow their clients.
+	maxHeaderBytes = 128 << 10
 	// maxBodyBytes is the greatest length of a request body.
 	maxBodyBytes = 1 << 20
 )
@@ -40,7 +42,7 @@
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	s := &Server{listener: l}
-	s.server = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeoutMs.Duration(), ConnState: s.trackConn}
+	s.server = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeoutMs.Duration(), MaxHeaderBytes: maxHeaderBytes, ConnState: s.trackConn}
 	return s, nil
 }
 
