directory: Acknowledge a departure once it would survive a restart

Cause: the leaf cache is written every 0.5 s. A registrar that acknowledged a departure and was killed within that time loaded the leaf as serving, and if all processes restarted together nobody knew better: a leaf that sends DELETE first never says so again. Departures at the same time share a write. A failed write is tried again without waiting for another change. Result: with AwaitSaved returning at once both cases of the restart test load the leaf as serving; they pass now.

--- a/client.go
+++ b/client.go
@@ -78,9 +78,11 @@
 	Routing(ctx context.Context) (RoutingDocument, error)
 }
 
-// AnnouncementHandler receives the announcements of leaves and is safe for concurrent use.
+// AnnouncementHandler receives the announcements of leaves and is safe for concurrent use. What a leaf announces is acknowledged
+// unless an error is returned.
 type AnnouncementHandler interface {
-	HandleAnnouncement(a Announcement)
+	// HandleAnnouncement records an announcement.
+	HandleAnnouncement(ctx context.Context, a Announcement) error
 	// HandleLeave records that the current incarnation of a leaf gets no more work.
-	HandleLeave(leaf Leaf)
+	HandleLeave(ctx context.Context, leaf Leaf) error
 }
--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -30,6 +30,8 @@
 	registrarStopStepTimeoutMs samphirepass.Millis = 1500
 	// expiryIntervalMs is the interval between checks for expired leaves.
 	expiryIntervalMs samphirepass.Millis = 5000
+	// departureSaveTimeoutMs bounds the wait for the disk; a leaf calls another process after a second.
+	departureSaveTimeoutMs samphirepass.Millis = 700
 	// noLeaderAgeMs is reported as the time since the last contact with a leader while this process is not a member.
 	noLeaderAgeMs samphirepass.Millis = 1e9
 )
@@ -51,6 +53,8 @@
 	peerHTTP      *web.Server
 	api           *web.Server
 	metricsServer *web.Server
+	// leafCache is nil without a data folder.
+	leafCache *directory.DiskCache
 	// member is nil without a data folder, and until that folder has been opened.
 	member atomic.Pointer[control.Node]
 }
@@ -171,19 +175,35 @@
 	return r.client.Routing(ctx)
 }
 
-// HandleAnnouncement adds the announcement of a leaf to the registry.
-func (r *Registrar) HandleAnnouncement(a samphirepass.Announcement) {
+// HandleAnnouncement adds the announcement of a leaf to the registry. If the leaf drains, it returns once that would survive a restart.
+func (r *Registrar) HandleAnnouncement(ctx context.Context, a samphirepass.Announcement) error {
 	if newer, changed := r.registry.Apply(a, 0, true); newer && changed {
 		r.log.For("registry").Event("Leaf announced.", "leaf", a.Leaf, "service", a.Service, "address", a.Address,
 			"state", a.State, "incarnation", a.Incarnation, "sequence", a.Sequence, "cold-ms", a.ColdMs)
 	}
+	if !a.State.Leaving() {
+		return nil
+	}
+	return r.awaitDepartureSaved(ctx)
 }
 
-// HandleLeave records that the current incarnation of a leaf takes no more work.
-func (r *Registrar) HandleLeave(name samphirepass.Leaf) {
+// HandleLeave records that the current incarnation of a leaf takes no more work, and returns once that would survive a restart.
+func (r *Registrar) HandleLeave(ctx context.Context, name samphirepass.Leaf) error {
 	if r.registry.MarkGone(name) {
 		r.log.For("registry").Event("Leaf left.", "leaf", name)
 	}
+	return r.awaitDepartureSaved(ctx)
+}
+
+// awaitDepartureSaved returns once the current state of the leaves is on the disk. Otherwise a leaf whose departure was acknowledged
+// just before a restart would be loaded as serving.
+func (r *Registrar) awaitDepartureSaved(ctx context.Context) error {
+	if r.leafCache == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, departureSaveTimeoutMs.Duration())
+	defer cancel()
+	return r.leafCache.AwaitSaved(ctx, r.registry.Version())
 }
 
 // Run serves until ctx ends. A leader transfers the leadership before it stops.
@@ -234,9 +254,9 @@
 		log.Errorf("Known leaves are not saved to disk: %v.", err)
 		return
 	}
-	cache := directory.NewDiskCache(folder, r.registry, r.source, log.Infof)
-	cache.Load()
-	supervisor.Add(namedService{cache, "leaf cache"})
+	r.leafCache = directory.NewDiskCache(folder, r.registry, r.source, log.Infof)
+	r.leafCache.Load()
+	supervisor.Add(namedService{r.leafCache, "leaf cache"})
 }
 
 // superviseMember runs the member of the replicated log, if there is a data folder, and reopens it after a disk failure.
--- a/directory/disk_cache.go
+++ b/directory/disk_cache.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"samphirepass"
@@ -16,6 +17,8 @@
 	cacheTemporaryName = "leaves-new"
 	// writeIntervalMs is the minimum time between two writes; a change after a longer pause is written at once.
 	writeIntervalMs samphirepass.Millis = 500
+	// departureDelayMs is how long a write that is waited for is delayed, so that leaves that leave together share it.
+	departureDelayMs samphirepass.Millis = 20
 	// countIntervalMs is the interval at which the numbers of entries and collectors are checked for changes.
 	countIntervalMs samphirepass.Millis = 2000
 )
@@ -37,11 +40,19 @@
 	source   *Source
 	log      func(format string, args ...any)
 	failing  bool
+	// waited receives a value when AwaitSaved is called.
+	waited chan struct{}
+
+	mu sync.Mutex
+	// savedVersion is the version of the registry that the last write covers.
+	savedVersion uint64
+	// saved is closed after the next write.
+	saved chan struct{}
 }
 
 // NewDiskCache returns a cache of the leaves in registry and of the numbers of entries and collectors that source counts.
 func NewDiskCache(folder samphirepass.DataFolder, registry *leaf.Registry, source *Source, log func(format string, args ...any)) *DiskCache {
-	return &DiskCache{folder: folder, registry: registry, source: source, log: log}
+	return &DiskCache{folder: folder, registry: registry, source: source, log: log, waited: make(chan struct{}, 1), saved: make(chan struct{})}
 }
 
 // Load restores the cached leaves and counts; it must be called before the registry receives announcements.
@@ -86,17 +97,64 @@
 		leaves, newVersion := c.registry.ChangesSince(0)
 		entries, collectors := c.source.entryCounts()
 		if counts := [2]int{entries, collectors}; newVersion != version || counts != writtenCounts {
-			version, writtenCounts = newVersion, counts
-			c.logWriteState(c.write(cachedState{Leaves: leaves, Entries: entries, Collectors: collectors}))
+			err := c.write(cachedState{Leaves: leaves, Entries: entries, Collectors: collectors})
+			c.logWriteState(err)
+			if err == nil {
+				version, writtenCounts = newVersion, counts
+				c.setSaved(newVersion)
+			}
+		}
+		if err := c.awaitNextWrite(ctx); err != nil {
+			return err
 		}
+	}
+}
+
+// awaitNextWrite waits writeIntervalMs, or departureDelayMs after AwaitSaved was called.
+func (c *DiskCache) awaitNextWrite(ctx context.Context) error {
+	wait := time.NewTimer(writeIntervalMs.Duration())
+	defer wait.Stop()
+	for {
 		select {
-		case <-time.After(writeIntervalMs.Duration()):
+		case <-wait.C:
+			return nil
+		case <-c.waited:
+			wait.Reset(departureDelayMs.Duration())
 		case <-ctx.Done():
 			return fmt.Errorf("cache leaves: %w", ctx.Err())
 		}
 	}
 }
 
+func (c *DiskCache) setSaved(version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.savedVersion = version
+	close(c.saved)
+	c.saved = make(chan struct{})
+}
+
+// AwaitSaved returns once a version of the registry is on the disk, or an error if ctx ends first.
+func (c *DiskCache) AwaitSaved(ctx context.Context, version uint64) error {
+	for {
+		c.mu.Lock()
+		done, saved := c.savedVersion >= version, c.saved
+		c.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case c.waited <- struct{}{}:
+		default:
+		}
+		select {
+		case <-saved:
+		case <-ctx.Done():
+			return fmt.Errorf("save leaf cache: %w", ctx.Err())
+		}
+	}
+}
+
 // logWriteState logs the first of consecutive write failures and the first success after them.
 func (c *DiskCache) logWriteState(err error) {
 	if (err != nil) == c.failing {
--- a/directory/disk_cache_test.go
+++ b/directory/disk_cache_test.go
@@ -50,6 +50,60 @@
 	require.Equal(t, 3, first.EntryCount())
 }
 
+// TestProofAcknowledgedDepartureSurvivesRestart restarts a process as soon as it may acknowledge that a leaf has left, well within the
+// time between two writes of the cache. A stale cache would list the leaf as serving.
+func TestProofAcknowledgedDepartureSurvivesRestart(t *testing.T) {
+	tests := map[string]func(r *leaf.Registry){
+		"left":     func(r *leaf.Registry) { r.MarkGone("a") },
+		"draining": func(r *leaf.Registry) { announceTo(r, "a", 1, samphirepass.LeafDraining) },
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			folder, err := disk.OpenFolder(t.TempDir())
+			require.NoError(t, err)
+			before := leaf.NewRegistry(clock)
+			cache := directory.NewDiskCache(folder, before, sourceWithoutFollowers(before), t.Logf)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				_ = cache.Serve(ctx)
+			}()
+			announceTo(before, "a", 1, samphirepass.LeafServing)
+			require.NoError(t, cache.AwaitSaved(ctx, before.Version()))
+			leave(before)
+			require.NoError(t, cache.AwaitSaved(ctx, before.Version()))
+			cancel()
+			<-done
+			after := leaf.NewRegistry(clock)
+			directory.NewDiskCache(folder, after, sourceWithoutFollowers(after), t.Logf).Load()
+			require.Empty(t, after.Serving("desk"))
+		})
+	}
+}
+
+// failingFolder is a data folder that accepts no writes.
+type failingFolder struct{ samphirepass.DataFolder }
+
+func (failingFolder) Append(string) (samphirepass.File, error) {
+	return nil, os.ErrPermission
+}
+
+// TestProofDepartureIsNotAcknowledgedUnsaved guards against acknowledging a departure that the disk did not take.
+func TestProofDepartureIsNotAcknowledgedUnsaved(t *testing.T) {
+	folder, err := disk.OpenFolder(t.TempDir())
+	require.NoError(t, err)
+	r := leaf.NewRegistry(clock)
+	cache := directory.NewDiskCache(failingFolder{folder}, r, sourceWithoutFollowers(r), t.Logf)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	go func() { _ = cache.Serve(ctx) }()
+	announceTo(r, "a", 1, samphirepass.LeafServing)
+	r.MarkGone("a")
+	require.Error(t, cache.AwaitSaved(ctx, r.Version()))
+}
+
 // TestLeavesSurviveRestart caches leaves, one of them draining, and loads them from the folder.
 func TestLeavesSurviveRestart(t *testing.T) {
 	path := t.TempDir()
