policy, leaf, daemon: Avoid refusing leaves, leave out overloaded shards, queue less at leaves

Two of ten shards keep one leaf of three after 5 s and get 1.2 times what it can do: all its answers are late, so nothing is complete in time although a shard may be missing. Leaves refused 18,000 of 125,000 arrivals because gateways hold more connections than a leaf queues requests, and each refusal ends its shard. Change: the share of refused attempts of a leaf counts in its cost. Each route learns which shards answer late and leaves them out of part of its requests, as many as may be missing; they are asked after all if others fail. Gateways hold at most 6 connections a slot together, and requests wait at the gateway, where they are withdrawn once they are not needed. The time on the network is only deducted where leaves state their own: it was taken for the whole latency, so slow leaves got no time.

--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -17,8 +17,9 @@
 	sharedConnectionFraction = 0.9
 	// defaultConnectionLimit is the connection limit of a leaf whose service declares none.
 	defaultConnectionLimit = 32
-	// maxConnectionsPerSlot bounds the share of one gateway: on further connections, requests would only queue at the leaf.
-	maxConnectionsPerSlot = 2
+	// maxConnectionsPerSlot bounds the connections of all gateways together for each slot of a leaf. On further ones, requests would
+	// queue at the leaf until it refuses them; a gateway lets them wait only while their answer is needed.
+	maxConnectionsPerSlot = 6
 	// minLeaves is the number of leaves of a service that a gateway needs for a second attempt. A gateway that forwards requests
 	// to collectors needs only minLeavesWithCollectors.
 	minLeaves               = 2
@@ -43,9 +44,11 @@
 		limit = defaultConnectionLimit
 	}
 	shared := sharedConnectionFraction * float64(limit)
-	perEntry, minSize := shared/float64(max(s.g.follower.EntryCount(), 1)), minLeaves
+	holders := max(s.g.follower.EntryCount(), 1)
+	perEntry, minSize := shared/float64(holders), minLeaves
 	if collectors := s.g.follower.CollectorCount(); collectors > 0 && s.g.isShard(a.Service) {
 		if s.g.follower.IsCollector() {
+			holders = collectors
 			perEntry = shared * collectorConnectionFraction / float64(collectors)
 		} else {
 			perEntry, minSize = perEntry*(1-collectorConnectionFraction), minLeavesWithCollectors
@@ -54,7 +57,7 @@
 	if perEntry < 1 && !s.inSubset(a, perEntry, minSize) {
 		return 0
 	}
-	return min(max(int(perEntry), 1), maxConnectionsPerSlot*max(a.Slots, 1))
+	return max(min(int(perEntry), maxConnectionsPerSlot*a.Slots/holders), 1)
 }
 
 // wantsPreconnect reports whether to open a connection to a leaf before a request needs it. That is worth it only for shards, of which
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -115,7 +115,7 @@
 		f.handlePartial(r)
 		return
 	}
-	s.answered, s.partial, s.items, s.reply = true, false, r.items, r.reply
+	s.answered, s.answeredAt, s.partial, s.items, s.reply = true, f.clock.Now(), false, r.items, r.reply
 	f.answeredShards++
 	f.closeShard(r.shard)
 }
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -89,8 +89,14 @@
 	budgets      func(samphirepass.Service) samphirepass.Budget
 	extraPercent samphirepass.Percent
 
-	mu      sync.Mutex
-	hedgers map[samphirepass.RouteName]samphirepass.Hedger
+	mu     sync.Mutex
+	routes map[samphirepass.RouteName]routeState
+}
+
+// routeState holds the measurements of one route.
+type routeState struct {
+	hedger  samphirepass.Hedger
+	skipper *policy.ShardSkipper
 }
 
 // DelivererOptions configures a Deliverer.
@@ -111,19 +117,22 @@
 func NewDeliverer(opts DelivererOptions) *Deliverer {
 	return &Deliverer{
 		fanOutDeps: &fanOutDeps{registry: opts.Registry, pool: opts.Pool, sender: opts.Sender, dataCentre: opts.DataCentre, chooser: opts.Chooser, clock: opts.Clock},
-		budgets:    opts.Budget, extraPercent: opts.ExtraPercent, hedgers: map[samphirepass.RouteName]samphirepass.Hedger{},
+		budgets:    opts.Budget, extraPercent: opts.ExtraPercent, routes: map[samphirepass.RouteName]routeState{},
 	}
 }
 
-func (d *Deliverer) hedger(route samphirepass.Route) samphirepass.Hedger {
+func (d *Deliverer) routeState(route samphirepass.Route) routeState {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	h := d.hedgers[route.Name]
-	if h == nil {
-		h = policy.NewQuantileHedger(d.extraPercent).WithBaseDelay(route.LatencyTargetMs / hedgeDelayDivisor)
-		d.hedgers[route.Name] = h
+	s, ok := d.routes[route.Name]
+	if !ok {
+		s = routeState{
+			hedger:  policy.NewQuantileHedger(d.extraPercent).WithBaseDelay(route.LatencyTargetMs / hedgeDelayDivisor),
+			skipper: policy.NewShardSkipper(),
+		}
+		d.routes[route.Name] = s
 	}
-	return h
+	return s
 }
 
 // expectedLatency returns the median latency of a route's leaf requests, or an estimate before there are measurements.
@@ -145,9 +154,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for name := range d.hedgers {
+	for name := range d.routes {
 		if !present[name] {
-			delete(d.hedgers, name)
+			delete(d.routes, name)
 		}
 	}
 }
@@ -179,8 +188,9 @@
 func (d *Deliverer) Deliver(ctx context.Context, delivery Delivery) DeliveryResult {
 	began := d.clock.Now()
 	leaves := make([][]Registration, len(delivery.Shards))
+	state := d.routeState(delivery.Route)
 	opts := fanOutOptions{
-		hedger: d.hedger(delivery.Route), budgets: make([]samphirepass.Budget, len(delivery.Shards)),
+		hedger: state.hedger, budgets: make([]samphirepass.Budget, len(delivery.Shards)),
 		maxAttempts: max(delivery.Route.MaxAttempts, 1), atMostOnce: delivery.Route.Kind == samphirepass.AtMostOnce,
 		partialAfter: delivery.PartialAfterMs, grace: delivery.GraceMs, requiredShards: delivery.RequiredShards(),
 		cancelDelay: cancelDelayMs, endedCancelDelay: endedCancelDelayMs,
@@ -194,6 +204,9 @@
 			result.KnownShards++
 		}
 	}
+	if delivery.PartialAfterMs > 0 {
+		opts.skip = state.skipper.Skip(delivery.Shards, result.KnownShards-opts.requiredShards)
+	}
 	opts.newAttempt = func(shard int) samphirepass.Attempt {
 		return samphirepass.Attempt{
 			Request: delivery.Request.ID, Service: delivery.Shards[shard], Forwarded: &delivery.Request.Forwarded,
@@ -208,6 +221,9 @@
 			result.Replies[i] = &s.reply
 		}
 	}
+	if delivery.PartialAfterMs > 0 {
+		f.recordPunctuality(state.skipper, delivery.Shards)
+	}
 	result.LastErr, result.LastLeaf = f.lastErr, f.lastLeaf
 	result.Answered, result.Failure, result.MaybeRun = f.answeredShards, f.failure, f.maybeRun || f.mayStillRun
 	result.CrossCentreAttempts = f.crossCentreAttempts
@@ -217,3 +233,20 @@
 	result.Extra, result.Attempts, result.HalfAnsweredMs, result.Shed = f.extraAttempts, f.attempts, f.halfAnsweredMs, f.shed && f.answeredShards < len(f.shards)
 	return result
 }
+
+// recordPunctuality tells the skipper of each shard that was asked whether it answered in time. It leaves out the shards that had
+// time left when the request ended.
+func (f *fanOut) recordPunctuality(skipper *policy.ShardSkipper, shards []samphirepass.Service) {
+	dueAt := f.began + f.partialAfter
+	due := f.clock.Now() >= dueAt-timerToleranceMs
+	for i := range f.shards {
+		s := &f.shards[i]
+		switch {
+		case len(s.tried) == 0:
+		case s.answered:
+			skipper.Record(shards[i], s.answeredAt <= dueAt)
+		case due, s.closed:
+			skipper.Record(shards[i], false)
+		}
+	}
+}
--- a/leaf/deliver_test.go
+++ b/leaf/deliver_test.go
@@ -145,6 +145,42 @@
 	require.Equal(t, 3, result.Answered)
 }
 
+// TestOverloadedShardIsLeftOut guards against sending each request to a shard that answers none in time. A request that needs the shard
+// because another one fails must still ask it.
+func TestOverloadedShardIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var failing atomic.Bool
+		s := &scriptedSender{answer: func(_ context.Context, to samphirepass.Leaf, _ int, _ samphirepass.Attempt) (samphirepass.Reply, error) {
+			switch {
+			case to[0] == '1' && !failing.Load():
+				time.Sleep(200 * time.Millisecond)
+			case to[0] == '2' && failing.Load():
+				return samphirepass.Reply{}, attemptError(samphirepass.FailureLost)
+			}
+			return okReply()
+		}}
+		d, _ := newDelivererAt(bubbleClock{started: time.Now()}, s, &fixedBudget{})
+		delivery := newDelivery(testRoute)
+		delivery.PartialAfterMs, delivery.GraceMs = 60, 100
+		early := 0
+		for range 100 {
+			result, took := deliver(d, delivery)
+			require.Equal(t, 2, result.Answered)
+			if took < 10*time.Millisecond {
+				early++
+			}
+		}
+		require.Greater(t, early, 40, "requests wait for the overloaded shard")
+		require.Greater(t, s.count("1-0"), 10, "some requests show whether the shard has recovered")
+		failing.Store(true)
+		for range 10 {
+			result, _ := deliver(d, delivery)
+			require.Equal(t, 2, result.Answered, "the shard is needed in place of the failed one")
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // TestUnreachableRequirementEndsAtOnce guards against waiting for a hanging shard after more shards failed than may be missing.
 func TestUnreachableRequirementEndsAtOnce(t *testing.T) {
 	s := &scriptedSender{answer: func(ctx context.Context, to samphirepass.Leaf, _ int, _ samphirepass.Attempt) (samphirepass.Reply, error) {
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -36,8 +36,12 @@
 	// hedgeFrom is the time at which the hedge delay starts.
 	hedgeFrom samphirepass.Millis
 	answered  bool
+	// answeredAt is the time of the answer, if answered is set.
+	answeredAt samphirepass.Millis
 	// closed is set once the shard is answered or given up.
 	closed bool
+	// skipped is set while the shard is left out although it has leaves.
+	skipped bool
 	// partial is set while items come from a partial reply.
 	partial bool
 	reply   samphirepass.Reply
@@ -78,6 +82,8 @@
 	partialAfter samphirepass.Millis
 	// grace is how much longer an answer with too few shards at partialAfter waits for all of them.
 	grace samphirepass.Millis
+	// skip holds the shards that are only asked if the request cannot succeed without them.
+	skip []int
 	// requiredShards is the least number of shards for an answer, 0 for any number.
 	requiredShards int
 	// cancelDelay is how long attempts that are no longer needed may still run, so that their connections can be reused;
@@ -140,8 +146,11 @@
 	f.timer = time.NewTimer(time.Hour)
 	defer f.timer.Stop()
 	f.recordPrimaries()
+	for _, i := range f.skip {
+		f.shards[i].skipped = len(f.leaves[i]) > 0
+	}
 	for i := range f.shards {
-		if len(f.leaves[i]) > 0 {
+		if len(f.leaves[i]) > 0 && !f.shards[i].skipped {
 			f.openShards++
 			f.startAttempt(i)
 		} else {
@@ -149,7 +158,7 @@
 		}
 	}
 	f.resetTimer()
-	for f.openShards > 0 && !f.acceptPartial() && f.canSucceed() {
+	for !f.acceptPartial() && f.canSucceed() && f.openShards > 0 {
 		select {
 		case r := <-f.results:
 			f.handleResult(r)
@@ -235,7 +244,18 @@
 	return enough && elapsed >= f.partialAfter+f.grace
 }
 
-// canSucceed reports whether the required number of shards can still be reached.
+// canSucceed reports whether the required number of shards can still be reached. If others have failed, it starts skipped ones.
 func (f *fanOut) canSucceed() bool {
+	for i := range f.shards {
+		if f.answeredShards+f.openShards >= f.requiredShards {
+			return true
+		}
+		if s := &f.shards[i]; s.skipped {
+			s.skipped, s.closed = false, false
+			f.openShards++
+			f.startAttempt(i)
+			f.resetTimer()
+		}
+	}
 	return f.answeredShards+f.openShards >= f.requiredShards
 }
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -1,12 +1,12 @@
 package leaf
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
 
 	"samphirepass"
+	"samphirepass/policy"
 )
 
 const (
@@ -16,11 +16,13 @@
 	networkEWMAWeight = 0.1
 	// medianWindow is the number of answers in a leaf's median latency. Overlapping attempts count once, so a pause distorts
 	// one answer and leaves the median unchanged, while a leaf that has become slow shifts it with the second slow answer.
-	medianWindow = 3
-	// failureRateWeight is the weight of a finished attempt in the moving average of failures,
-	// failureRateDecayMs the time constant of its exponential decay: after it 1/e of the rate is left.
+	medianWindow                           = 3
 	failureRateWeight                      = 0.1
 	failureRateDecayMs samphirepass.Millis = 5000
+	// A leaf may refuse part of its requests for some seconds without being busy. A refusal costs it nothing and comes at once,
+	// so only the refusals themselves show it, and they are forgotten sooner than failures.
+	refusalRateWeight                      = 0.15
+	refusalRateDecayMs samphirepass.Millis = 2000
 	// defaultScaleMs is the scale of latencies of attempts without an expected latency.
 	defaultScaleMs samphirepass.Millis = 1
 	// loadAfterShed is the least load assumed of a leaf that has refused work.
@@ -50,9 +52,8 @@
 	loadAt              samphirepass.Millis
 	consecutiveFailures int
 	failedAt            samphirepass.Millis
-	// failureRate is the moving average of failures as of failureRateAt.
-	failureRate   float64
-	failureRateAt samphirepass.Millis
+	// failureRate and refusalRate are the shares of attempts that failed and that the leaf refused.
+	failureRate, refusalRate policy.DecayingRate
 }
 
 // inFlightAttempt is an attempt in flight.
@@ -115,7 +116,11 @@
 		}
 		t.conns.setMaxConns(0)
 	}
-	t = &target{address: a.Address, conns: &connPool{clock: p.clock}}
+	t = &target{
+		address: a.Address, conns: &connPool{clock: p.clock},
+		failureRate: policy.DecayingRate{Weight: failureRateWeight, DecayMs: failureRateDecayMs},
+		refusalRate: policy.DecayingRate{Weight: refusalRateWeight, DecayMs: refusalRateDecayMs},
+	}
 	t.conns.setMaxConns(p.shares.Share(a))
 	t.sharesVersion.Store(p.shares.Version())
 	p.targets[a.Leaf] = t
@@ -163,7 +168,7 @@
 		SinceFailureMs: now - t.failedAt, ColdMs: max(reg.ColdMs-(now-reg.LastSeenMs), 0),
 	}
 	c.MedianLatencyMs = samphirepass.Millis(median(t.recentLatencies)) * latencyScale(expected)
-	c.FailureRate = t.failureRateLocked(now)
+	c.FailureRate, c.RefusalRate = t.failureRate.Value(now), t.refusalRate.Value(now)
 	if t.observedAt > 0 {
 		c.LatencyAgeMs = now - t.observedAt
 	}
@@ -200,8 +205,9 @@
 	t.consecutiveFailures = 0
 	t.load, t.loadAt = r.Load, now
 	t.recordLatencyLocked(now, took, expected)
-	t.updateFailureRateLocked(now, 0)
-	if network := took - r.WorkedMs; network > 0 {
+	t.failureRate.Add(now, false)
+	t.refusalRate.Add(now, false)
+	if network := took - r.WorkedMs; r.WorkedMs > 0 && network > 0 {
 		t.meanNetworkLatency += (network - t.meanNetworkLatency) * networkEWMAWeight
 	}
 }
@@ -227,6 +233,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.load, t.loadAt = max(t.load, loadAfterShed), now
+	t.refusalRate.Add(now, true)
 }
 
 // recordFailure records a failed attempt that counts against the leaf.
@@ -235,20 +242,7 @@
 	defer t.mu.Unlock()
 	t.consecutiveFailures++
 	t.failedAt = now
-	t.updateFailureRateLocked(now, 1)
-}
-
-// updateFailureRateLocked adds a finished attempt to the failure rate: 1 for a failure, 0 for an answer.
-func (t *target) updateFailureRateLocked(now samphirepass.Millis, failed float64) {
-	rate := t.failureRateLocked(now)
-	t.failureRate, t.failureRateAt = rate+(failed-rate)*failureRateWeight, now
-}
-
-func (t *target) failureRateLocked(now samphirepass.Millis) float64 {
-	if t.failureRate == 0 {
-		return 0
-	}
-	return t.failureRate * math.Exp(-float64((now-t.failureRateAt)/failureRateDecayMs))
+	t.failureRate.Add(now, true)
 }
 
 // recordMinLatency records the time that an attempt lasted without an answer, if it exceeds the mean latency.
--- a/policy.go
+++ b/policy.go
@@ -28,6 +28,8 @@
 	MedianLatencyMs Millis
 	// FailureRate is the moving average of the share of finished attempts that failed; it decays with time.
 	FailureRate float64
+	// RefusalRate is the same for the share of attempts that the leaf refused.
+	RefusalRate float64
 	// LatencyAgeMs is the time since the last observation of the leaf's latency, 0 if there is none.
 	LatencyAgeMs Millis
 	// ColdMs is the remaining warm-up time, as stated by the leaf.
--- a/policy/least_cost.go
+++ b/policy/least_cost.go
@@ -29,6 +29,8 @@
 	// failureCostFactor times a leaf's failure rate is added to its cost factor: each failure needs another attempt,
 	// and loses a request that may run only once.
 	failureCostFactor = 12
+	// refusalCostFactor is the same for refusals, which need another attempt, too.
+	refusalCostFactor = 12
 	// leastCostNoConnectionFactor is the cost factor of a leaf to which this entry has no free connection,
 	// where an attempt has to wait for one.
 	leastCostNoConnectionFactor = 4
@@ -84,7 +86,7 @@
 	if c.MaxConnections > 0 && c.InFlight >= c.MaxConnections {
 		cost *= leastCostNoConnectionFactor
 	}
-	cost *= 1 + failureCostFactor*c.FailureRate
+	cost *= 1 + failureCostFactor*c.FailureRate + refusalCostFactor*c.RefusalRate
 	if Stalled(c, latency) {
 		cost *= stallCostFactor
 	}
