collector, directory, leaf: Send less between data centres, and hedge no own delay

Each gateway used two other data centres chosen by a hash, so shards without a leaf in the three went to the largest part. Registrars without a disk had no routing and counted as stale, so every gateway followed one registrar in another data centre, which sent it every document and every change of a leaf. Some collectors hedged 31 to 36 of 45 shards at once: a timer that fires late because the process had no processor time makes all shards look late. 27 registrars for 300 VMs asked each other 700 times a second. Change: collectors in other data centres are those of the data centres that have leaves of most remaining shards, connected when they are wanted. A registrar without a disk passes the routing document on, with the age of the last contact with a leader. A late timer gives each shard as much more time. TestDegradedShardMovesToOtherDataCentre expects that the remote collector is connected by the first request that needs it.

--- a/collector/client.go
+++ b/collector/client.go
@@ -30,8 +30,9 @@
 	overdueMarginMs samphirepass.Millis = 50
 	// connectIntervalMs is the interval at which missing connections to collectors are opened.
 	connectIntervalMs samphirepass.Millis = 250
-	// maxRemoteCollectors is the number of collectors in other data centres that an entry connects to.
-	maxRemoteCollectors = 2
+	// maxSplits is the number of times that a request's shards are split anew because a data centre has no usable collector, before only
+	// those that have one are considered.
+	maxSplits = 2
 	// degradedTTLMs is how long a shard is collected in another data centre after a collector reported it as degraded:
 	// longer than the collector remembers a leaf's slowness, and short compared with the faults that cause it.
 	degradedTTLMs samphirepass.Millis = 4000
@@ -48,7 +49,9 @@
 	Registry *leaf.Registry
 	Peers    *peer.Pool
 	// Offers returns the offers of other entries to collect for this one, as a slice that the client may reorder.
-	Offers     func() []directory.CollectorOffer
+	Offers func() []directory.CollectorOffer
+	// Shards returns the shards of all routes; nil means that connections to other data centres are only opened by requests.
+	Shards     func() []samphirepass.Service
 	VM         samphirepass.VM
 	DataCentre samphirepass.DataCentre
 	// Capacity is the capacity of this entry.
@@ -98,7 +101,7 @@
 		return c.opts.Local.Deliver(ctx, d)
 	}
 	dataCentres := c.shardDataCentres(d.Shards)
-	parts := policy.SplitShards(dataCentres, c.opts.DataCentre, offerDataCentres(offers))
+	parts := c.splitShards(dataCentres, offers)
 	if len(parts) == 1 {
 		return c.deliverPart(ctx, d, parts[0], dataCentres, offers)
 	}
@@ -125,9 +128,7 @@
 	t := time.NewTicker(connectIntervalMs.Duration())
 	defer t.Stop()
 	for {
-		for _, offer := range c.usableOffers() {
-			c.opts.Peers.Get(offer.Address).Preconnect()
-		}
+		c.connect()
 		c.removeExpired()
 		select {
 		case <-t.C:
@@ -137,25 +138,63 @@
 	}
 }
 
-// usableOffers returns the collectors that this entry uses: those in its own data centre that are much larger than itself, and
-// up to maxRemoteCollectors in other data centres. They are ordered by a hash of the VM and their address,
-// so that the entries spread over the collectors.
+// connect opens the connections to the collectors that a request over all shards would use.
+func (c *Client) connect() {
+	offers := c.usableOffers()
+	var shards []samphirepass.Service
+	if c.opts.Shards != nil {
+		shards = c.opts.Shards()
+	}
+	c.connectTo(policy.SplitShards(c.shardDataCentres(shards), c.opts.DataCentre, offerDataCentres(offers)), offers)
+}
+
+// connectTo opens the connections to the collectors in this entry's own data centre and in those of the parts.
+func (c *Client) connectTo(parts []samphirepass.ShardPart, offers []directory.CollectorOffer) {
+	for _, offer := range offers {
+		if offer.DataCentre == c.opts.DataCentre || slices.ContainsFunc(parts, func(p samphirepass.ShardPart) bool { return p.DataCentre == offer.DataCentre }) {
+			c.opts.Peers.Get(offer.Address).Preconnect()
+		}
+	}
+}
+
+// splitShards splits a request's shards by the data centres in which they are collected. If a data centre that suits best has no usable
+// collector, the next best one takes its part.
+func (c *Client) splitShards(dataCentres [][]samphirepass.DataCentre, offers []directory.CollectorOffer) []samphirepass.ShardPart {
+	var usableOffers []directory.CollectorOffer
+	c.mu.Lock()
+	for _, offer := range offers {
+		if policy.CollectorUsable(c.candidateLocked(offer)) {
+			usableOffers = append(usableOffers, offer)
+		}
+	}
+	c.mu.Unlock()
+	all, usable := offerDataCentres(offers), offerDataCentres(usableOffers)
+	for range maxSplits {
+		parts := policy.SplitShards(dataCentres, c.opts.DataCentre, all)
+		isUnusable := func(dataCentre samphirepass.DataCentre) bool {
+			return dataCentre != c.opts.DataCentre && !slices.Contains(usable, dataCentre) && slices.ContainsFunc(parts, func(p samphirepass.ShardPart) bool { return p.DataCentre == dataCentre })
+		}
+		if !slices.ContainsFunc(all, isUnusable) {
+			return parts
+		}
+		// Later requests may use these data centres.
+		c.connectTo(parts, offers)
+		all = slices.DeleteFunc(all, isUnusable)
+	}
+	return policy.SplitShards(dataCentres, c.opts.DataCentre, usable)
+}
+
+// usableOffers returns the collectors that this entry may use: those in its own data centre that are much larger than itself, and
+// those in other data centres. They are ordered by a hash of the VM and their address, so that the entries spread over the collectors.
 func (c *Client) usableOffers() []directory.CollectorOffer {
 	all := c.opts.Offers()
 	hash := func(offer directory.CollectorOffer) uint64 {
 		return xxhash.Sum64String(string(c.opts.VM) + "/" + offer.Address)
 	}
 	slices.SortFunc(all, func(a, b directory.CollectorOffer) int { return cmp.Compare(hash(a), hash(b)) })
-	usable, remote := all[:0], 0
-	for _, offer := range all {
-		if offer.DataCentre != c.opts.DataCentre {
-			remote++
-		}
-		if (offer.DataCentre == c.opts.DataCentre && offer.Capacity.SuitsOffloadFrom(c.opts.Capacity)) || (offer.DataCentre != c.opts.DataCentre && remote <= maxRemoteCollectors) {
-			usable = append(usable, offer)
-		}
-	}
-	return usable
+	return slices.DeleteFunc(all, func(offer directory.CollectorOffer) bool {
+		return offer.DataCentre == c.opts.DataCentre && !offer.Capacity.SuitsOffloadFrom(c.opts.Capacity)
+	})
 }
 
 // offerDataCentres returns the distinct data centres of the offers.
@@ -291,25 +330,12 @@
 	var candidates []samphirepass.CollectorCandidate
 	var candidateOffers []directory.CollectorOffer
 	c.mu.Lock()
-	now := c.opts.Clock.Now()
 	for _, offer := range offers {
 		if p.DataCentre == c.opts.DataCentre && !offer.Capacity.SuitsOffloadFrom(c.opts.Capacity) {
 			continue
 		}
-		candidate := samphirepass.CollectorCandidate{
-			Address: offer.Address, SameDataCentre: offer.DataCentre == c.opts.DataCentre, LocalShardShare: localShardShare(p, dataCentres, offer.DataCentre),
-			SinceFailureMs: neverMs,
-		}
-		candidate.SilentMs, candidate.Connected = c.opts.Peers.Get(offer.Address).SinceLastFrame()
-		if s := c.collectors[offer.Address]; s != nil {
-			candidate.InFlight = len(s.inFlight)
-			if len(s.inFlight) > 0 {
-				candidate.OldestInFlightMs = now - s.inFlight[0]
-			}
-			if s.failed {
-				candidate.SinceFailureMs = now - s.failedAt
-			}
-		}
+		candidate := c.candidateLocked(offer)
+		candidate.LocalShardShare = localShardShare(p, dataCentres, offer.DataCentre)
 		candidates, candidateOffers = append(candidates, candidate), append(candidateOffers, offer)
 	}
 	c.mu.Unlock()
@@ -324,6 +350,25 @@
 	return candidateOffers[i], true
 }
 
+// candidateLocked describes a collector to the policy.
+func (c *Client) candidateLocked(offer directory.CollectorOffer) samphirepass.CollectorCandidate {
+	candidate := samphirepass.CollectorCandidate{Address: offer.Address, SameDataCentre: offer.DataCentre == c.opts.DataCentre, SinceFailureMs: neverMs}
+	candidate.SilentMs, candidate.Connected = c.opts.Peers.Get(offer.Address).SinceLastFrame()
+	s := c.collectors[offer.Address]
+	if s == nil {
+		return candidate
+	}
+	now := c.opts.Clock.Now()
+	candidate.InFlight = len(s.inFlight)
+	if len(s.inFlight) > 0 {
+		candidate.OldestInFlightMs = now - s.inFlight[0]
+	}
+	if s.failed {
+		candidate.SinceFailureMs = now - s.failedAt
+	}
+	return candidate
+}
+
 // localShardShare returns the fraction of a part's shards that have a leaf in the data centre.
 func localShardShare(p samphirepass.ShardPart, dataCentres [][]samphirepass.DataCentre, dataCentre samphirepass.DataCentre) float64 {
 	n := 0
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -320,17 +320,59 @@
 	}
 	c := collector.NewClient(collector.Options{
 		VM: "entry", Local: ownDeliverer, Registry: r, Peers: peers, Offers: func() []directory.CollectorOffer { return slices.Clone(offers) },
-		DataCentre: "derby", Capacity: samphirepass.Capacity{Cores: cores}, Clock: clock,
+		Shards: func() []samphirepass.Service { return scatterGatherDelivery().Shards }, DataCentre: "derby", Capacity: samphirepass.Capacity{Cores: cores}, Clock: clock,
 	})
 	dialled := offers
-	if cores >= capacity.Cores {
+	switch {
+	case cores >= capacity.Cores:
 		// It does not use the collector in its own data centre.
 		dialled = offers[1:]
+	case !slices.ContainsFunc(scatterGatherDelivery().Shards, func(s samphirepass.Service) bool { return len(r.Serving(s)) == 1 }):
+		// Each shard has leaves in both data centres, so the remote collector is not needed.
+		dialled = offers[:1]
 	}
 	serveUntilConnected(t, c, peers, dialled)
 	return c, ownDeliverer
 }
 
+// TestFewestDataCentresCollect answers the load pattern of leaves spread over many data centres: the collectors elsewhere are those of the
+// data centre that has leaves of all remaining shards, and others only if its collector cannot be reached.
+func TestFewestDataCentresCollect(t *testing.T) {
+	own := startCollector(t, 0)
+	r := leaf.NewRegistry(clock)
+	announce(r, "s1", "derby")
+	announce(r, "s2", "trent")
+	announce(r, "s2", "fosse")
+	announce(r, "s3", "soar")
+	announce(r, "s3", "fosse")
+	offers := []directory.CollectorOffer{{Address: own.relay.Address(), DataCentre: "derby", Capacity: samphirepass.Capacity{Cores: 2}}}
+	remote := map[samphirepass.DataCentre]*testCollector{}
+	for _, dataCentre := range []samphirepass.DataCentre{"wolds", "trent", "dove", "soar", "fosse"} {
+		remote[dataCentre] = startCollector(t, 0)
+		offers = append(offers, directory.CollectorOffer{Address: remote[dataCentre].relay.Address(), DataCentre: dataCentre, Capacity: samphirepass.Capacity{Cores: 2}})
+	}
+	peers := &peer.Pool{}
+	t.Cleanup(peers.Close)
+	ownDeliverer := &fakeDeliverer{}
+	c := collector.NewClient(collector.Options{
+		VM: "small", Local: ownDeliverer, Registry: r, Peers: peers, Offers: func() []directory.CollectorOffer { return slices.Clone(offers) },
+		Shards: func() []samphirepass.Service { return scatterGatherDelivery().Shards }, DataCentre: "derby", Capacity: samphirepass.Capacity{Cores: 1}, Clock: clock,
+	})
+	serveUntilConnected(t, c, peers, []directory.CollectorOffer{offers[0], offers[5]})
+	require.Equal(t, 3, c.Deliver(t.Context(), scatterGatherDelivery()).Answered)
+	require.Equal(t, []samphirepass.Service{"s2", "s3"}, remote["fosse"].deliverer.calls()[0].Shards)
+	for dataCentre, tc := range remote {
+		require.Equal(t, dataCentre == "fosse", tc.relay.OpenConnections() == 1, "connections to %s", dataCentre)
+	}
+
+	remote["fosse"].relay.SetDefault(standin.LinkCut)
+	require.Eventually(t, func() bool {
+		before := len(remote["trent"].deliverer.calls()) + len(remote["soar"].deliverer.calls())
+		result := c.Deliver(t.Context(), scatterGatherDelivery())
+		return result.Answered == 3 && len(remote["trent"].deliverer.calls())+len(remote["soar"].deliverer.calls()) == before+2
+	}, 5*time.Second, 50*time.Millisecond, "the data centres that have the shards collect them")
+}
+
 // TestDegradedShardMovesToOtherDataCentre has a collector report one shard as degraded.
 func TestDegradedShardMovesToOtherDataCentre(t *testing.T) {
 	local, remote := startCollector(t, 0), startCollector(t, 0)
@@ -343,8 +385,12 @@
 	small, _ := startEntryWithRegistry(t, 1, r, local, remote)
 	small.Deliver(t.Context(), scatterGatherDelivery())
 	require.Equal(t, scatterGatherDelivery().Shards, local.deliverer.calls()[0].Shards)
+	require.Equal(t, 3, small.Deliver(t.Context(), scatterGatherDelivery()).Answered, "the remote collector is not connected yet")
+	require.Equal(t, scatterGatherDelivery().Shards, local.deliverer.calls()[1].Shards)
+	require.Eventually(t, func() bool { return remote.relay.OpenConnections() == 1 }, 5*time.Second, 5*time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
 	require.Equal(t, 3, small.Deliver(t.Context(), scatterGatherDelivery()).Answered)
-	require.Equal(t, []samphirepass.Service{"s1", "s3"}, local.deliverer.calls()[1].Shards)
+	require.Equal(t, []samphirepass.Service{"s1", "s3"}, local.deliverer.calls()[2].Shards)
 	require.Equal(t, []samphirepass.Service{"s2"}, remote.deliverer.calls()[0].Shards)
 }
 
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -90,7 +90,7 @@
 	})
 	g.collectorServer = collector.NewServer(g.deliverer, g.stopping.Load, log.For("collector"))
 	g.collectorClient = collector.NewClient(collector.Options{
-		VM: cfg.VM, Local: g.deliverer, Registry: g.registry, Peers: g.peers, Offers: g.follower.Offers, DataCentre: cfg.DataCentre,
+		VM: cfg.VM, Local: g.deliverer, Registry: g.registry, Peers: g.peers, Offers: g.follower.Offers, Shards: g.shards, DataCentre: cfg.DataCentre,
 		Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
 	})
 	g.dispatcher = gateway.NewDispatcher(gateway.Options{Deliverer: g.collectorClient, Metrics: g.metrics, Clock: clock, Log: log.For("gateway")})
@@ -155,6 +155,9 @@
 // isShard reports whether a service is a shard of a scatter-gather route in force.
 func (g *Gateway) isShard(s samphirepass.Service) bool { return g.dispatcher.IsShard(s) }
 
+// shards returns the shards of all scatter-gather routes in force, each once.
+func (g *Gateway) shards() []samphirepass.Service { return g.dispatcher.Shards() }
+
 // slackShare returns the fraction of the retry budget's slack that this gateway may use for a service. All gateways share it evenly,
 // except for shards, where collectors share most of it, as they send nearly all requests. The directory calls gateways entries.
 func (g *Gateway) slackShare(s samphirepass.Service) float64 {
--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -57,6 +57,8 @@
 	leafCache *directory.DiskCache
 	// member is nil without a data folder, and until that folder has been opened.
 	member atomic.Pointer[control.Node]
+	// relay passes on the routing document of other registrars; it is nil with a data folder.
+	relay *routingRelay
 }
 
 // NewRegistrar opens the listeners of a registrar; Run serves them.
@@ -70,10 +72,15 @@
 		Self: directory.Endpoint{Address: cfg.PeerAddress(), DataCentre: cfg.DataCentre}, Registry: r.registry, State: r, Clock: clock,
 		OnEndpoint: func(e directory.Endpoint) { r.follower.AddEndpoint(e) },
 	})
-	r.follower = directory.NewFollower(directory.FollowerOptions{
+	followerOpts := directory.FollowerOptions{
 		VM: cfg.VM, DataCentre: cfg.DataCentre, ControlAddress: cfg.PeerAddress(), Seeds: cfg.SeedPeers(), Registry: r.registry, Peers: r.peers,
 		Clock: clock, OnEntries: r.source.AddReportedEntries, OnOffers: r.source.AddReportedOffers, Logf: log.For("directory").Infof,
-	})
+	}
+	if cfg.DataFolder == "" {
+		r.relay = newRoutingRelay()
+		followerOpts.OnRouting = r.relay.set
+	}
+	r.follower = directory.NewFollower(followerOpts)
 	r.client = control.NewClient(membersAt(cfg.SeedPeers()), r.peers)
 	r.source.Register(r.handlers)
 	if cfg.DataFolder == "" {
@@ -111,16 +118,23 @@
 	return nil
 }
 
-// AppliedRouting returns the routing document that this process has applied, which has version 0 if there is none.
+// AppliedRouting returns the routing document that this process has applied or got from a registrar that has. It has version 0 if there
+// is none.
 func (r *Registrar) AppliedRouting() samphirepass.RoutingDocument {
+	if r.relay != nil {
+		return r.relay.get()
+	}
 	if m := r.member.Load(); m != nil {
 		return m.AppliedRouting()
 	}
 	return samphirepass.RoutingDocument{}
 }
 
-// SinceLeaderContact returns the time since the last contact with a leader.
+// SinceLeaderContact returns the time since the last contact with a leader, through other registrars if this one is not a member.
 func (r *Registrar) SinceLeaderContact() samphirepass.Millis {
+	if age, ok := r.follower.SinceLeaderContact(); ok && r.relay != nil {
+		return age
+	}
 	if m := r.member.Load(); m != nil {
 		_, age := m.Leader()
 		return age
@@ -139,8 +153,11 @@
 	return addresses
 }
 
-// Changed returns a channel that is closed at the next change of the replicated state, or nil if this process is not a member.
+// Changed returns a channel that is closed at the next change of the routing document, or nil while the data folder is not open.
 func (r *Registrar) Changed() <-chan struct{} {
+	if r.relay != nil {
+		return r.relay.changed()
+	}
 	if m := r.member.Load(); m != nil {
 		return m.Changed()
 	}
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -111,6 +111,9 @@
 	// upToDateAt is when a source that is not stale last replied, if everUpToDate is set.
 	upToDateAt   samphirepass.Millis
 	everUpToDate bool
+	// leaderContactAt is when a source that replied was last in contact with a leader, if leaderContacted is set.
+	leaderContactAt samphirepass.Millis
+	leaderContacted bool
 	// tryingLocal is set while a source in the follower's own data centre is tried in place of a followed one.
 	tryingLocal bool
 	entryCounts slidingMax
@@ -153,6 +156,13 @@
 	return f.everUpToDate && f.opts.Clock.Now()-f.upToDateAt < upToDateMs
 }
 
+// SinceLeaderContact returns the time since a source that replied was last in contact with a leader, or false before the first reply.
+func (f *Follower) SinceLeaderContact() (samphirepass.Millis, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.opts.Clock.Now() - f.leaderContactAt, f.leaderContacted
+}
+
 // EntryCount returns the largest number of entries that a source reported within countWindowMs. Without a report in that time it
 // returns the last reported number, or 0 before the first reply.
 func (f *Follower) EntryCount() int {
@@ -332,6 +342,9 @@
 		s.offers, s.offersVersion = reply.Offers, reply.OffersVersion
 	}
 	s.stale = reply.SinceLeaderContactMs > staleLeaderMs
+	if at := now - reply.SinceLeaderContactMs; !f.leaderContacted || at > f.leaderContactAt {
+		f.leaderContactAt, f.leaderContacted = at, true
+	}
 	f.entryCounts.add(max(reply.EntryCount, 1), now)
 	f.collectorCounts.add(reply.CollectorCount, now)
 	f.isCollector = reply.IsCollector
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -97,6 +99,15 @@
 	return r != nil && r.shards[s]
 }
 
+// Shards returns the shards of all scatter-gather routes in the current document, each once.
+func (d *Dispatcher) Shards() []samphirepass.Service {
+	r := d.router.Load()
+	if r == nil {
+		return nil
+	}
+	return slices.Collect(maps.Keys(r.shards))
+}
+
 // ClientLimits returns the limits on clients' requests of the current document, or the zero value if there is none.
 func (d *Dispatcher) ClientLimits() samphirepass.ClientLimits {
 	routing, _ := d.Routing()
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -222,10 +222,24 @@
 		}
 	}
 	if next >= 0 {
+		f.timerAt = next
 		f.timer.Reset((next - f.clock.Now()).Duration())
 	}
 }
 
+// discountOwnDelay reports whether the timer fired late. It then gives each shard that much more time before a hedge, as answers may
+// have arrived that were not read yet: hedging all shards at once would double the load on the leaves and on this process.
+func (f *fanOut) discountOwnDelay() bool {
+	late := f.clock.Now() - f.timerAt
+	if late < ownDelayMs {
+		return false
+	}
+	for i := range f.shards {
+		f.shards[i].hedgeFrom += late
+	}
+	return true
+}
+
 // nextPartialDeadline returns the next time at which a partial answer may be returned, or a negative number if there is none.
 func (f *fanOut) nextPartialDeadline() samphirepass.Millis {
 	if f.partialAfter == 0 {
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -13,6 +13,8 @@
 	maxFreeRetries = 4
 	// timerToleranceMs is how much before its time a timer may fire, as times are rounded; without it the timer would be set again.
 	timerToleranceMs samphirepass.Millis = 0.001
+	// ownDelayMs is the lateness of a timer from which this process was short of processor time and may not have read answers yet.
+	ownDelayMs samphirepass.Millis = 5
 )
 
 // attemptResult is the outcome of one attempt.
@@ -109,6 +111,8 @@
 	shards     []shardState
 	results    chan attemptResult
 	timer      *time.Timer
+	// timerAt is the time that timer is set to.
+	timerAt samphirepass.Millis
 	// openShards counts the shards that may still be answered.
 	openShards, answeredShards int
 	halfAnsweredMs             samphirepass.Millis
@@ -163,7 +167,9 @@
 		case r := <-f.results:
 			f.handleResult(r)
 		case <-f.timer.C:
-			f.hedgeLateShards()
+			if !f.discountOwnDelay() {
+				f.hedgeLateShards()
+			}
 			f.resetTimer()
 		case <-f.ctx.Done():
 			f.shed = f.shed || errors.Is(f.ctx.Err(), context.DeadlineExceeded)
--- a/policy/collect.go
+++ b/policy/collect.go
@@ -24,12 +24,17 @@
 	inFlightCost = 0.5
 )
 
+// CollectorUsable reports whether a request may be sent to a collector now.
+func CollectorUsable(c samphirepass.CollectorCandidate) bool {
+	return c.Connected && c.OldestInFlightMs <= collectorStallMs && c.SilentMs <= CollectorSilenceMs && c.SinceFailureMs >= collectorCooldownMs
+}
+
 // ChooseCollector returns the index of the best candidate to collect a scatter-gather request,
 // or -1 if no candidate is usable and this entry should collect it itself.
 func ChooseCollector(candidates []samphirepass.CollectorCandidate) int {
 	best, lowest := -1, math.Inf(1)
 	for i, c := range candidates {
-		if !c.Connected || c.OldestInFlightMs > collectorStallMs || c.SilentMs > CollectorSilenceMs || c.SinceFailureMs < collectorCooldownMs {
+		if !CollectorUsable(c) {
 			continue
 		}
 		cost := 1 + remoteShardCost*(1-c.LocalShardShare) + inFlightCost*float64(c.InFlight)
