leaf, collector, gateway: Say in the logs which requests left shards out

Cause: a partial answer's line did not tell whether a shard was late or had been left out because its leaves are overloaded. Result: TestOverloadedShardIsLeftOut checks the count.

--- a/collector/client.go
+++ b/collector/client.go
@@ -268,6 +268,7 @@
 		combined.Answered += r.Answered
 		combined.KnownShards += r.KnownShards
 		combined.Extra += r.Extra
+		combined.Skipped += r.Skipped
 		combined.Attempts += r.Attempts
 		combined.CrossCentreAttempts += r.CrossCentreAttempts
 		combined.MaybeRun = combined.MaybeRun || r.MaybeRun || r.Answered > 0
@@ -442,7 +443,7 @@
 	}
 	result = leaf.DeliveryResult{
 		Merged: reply.Merged, Answered: reply.Answered, KnownShards: reply.Known, RequiredShards: reply.RequiredShards, Extra: reply.Extra,
-		Attempts: reply.Attempts, MaybeRun: reply.MaybeRun, LastLeaf: reply.LastLeaf, DegradedShards: reply.DegradedShards,
+		Attempts: reply.Attempts, MaybeRun: reply.MaybeRun, LastLeaf: reply.LastLeaf, DegradedShards: reply.DegradedShards, Skipped: reply.Skipped,
 	}
 	if reply.LastError != "" {
 		result.LastErr = eris.New(reply.LastError)
--- a/collector/messages.go
+++ b/collector/messages.go
@@ -19,6 +19,7 @@
 	LastError                       string
 	// DegradedShards are the indices of the shards that are better collected in another data centre for a while.
 	DegradedShards []int
+	Skipped        int
 }
 
 // collectRequest is a scatter-gather request together with its route, so that the routing of the entry that received the request
--- a/collector/server.go
+++ b/collector/server.go
@@ -51,7 +51,7 @@
 	result := s.deliverer.Deliver(ctx, d)
 	reply := collectReply{
 		Answered: result.Answered, Known: result.KnownShards, RequiredShards: result.RequiredShards, Extra: result.Extra, Attempts: result.Attempts,
-		MaybeRun: result.MaybeRun, LastLeaf: result.LastLeaf, DegradedShards: result.DegradedShards,
+		MaybeRun: result.MaybeRun, LastLeaf: result.LastLeaf, DegradedShards: result.DegradedShards, Skipped: result.Skipped,
 	}
 	if result.LastErr != nil {
 		reply.LastError = result.LastErr.Error()
@@ -60,6 +60,6 @@
 		reply.Merged = gateway.MergeReplies(d, result)
 	}
 	s.log.RequestEvent("Request collected.", "request", d.Request.ID, "route", d.Route.Name, "shards", len(d.Shards),
-		"answered", result.Answered, "attempts", result.Attempts, "extra", result.Extra, "far", result.CrossCentreAttempts, "poor", len(result.DegradedShards), "last-leaf", result.LastLeaf, "last-error", reply.LastError)
+		"answered", result.Answered, "attempts", result.Attempts, "extra", result.Extra, "skipped", result.Skipped, "far", result.CrossCentreAttempts, "poor", len(result.DegradedShards), "last-leaf", result.LastLeaf, "last-error", reply.LastError)
 	return reply, nil
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -283,5 +283,5 @@
 		return
 	}
 	d.opts.Log.RequestEvent("Request answered.", "request", delivery.Request.ID, "route", delivery.Route.Name, "routing", router.routing.Version, "result", outcome,
-		"shards", len(delivery.Shards), "answered", result.Answered, "attempts", result.Attempts, "extra", result.Extra, "took-ms", int(elapsed))
+		"shards", len(delivery.Shards), "answered", result.Answered, "attempts", result.Attempts, "extra", result.Extra, "skipped", result.Skipped, "took-ms", int(elapsed))
 }
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -72,6 +72,8 @@
 	// Extra counts the hedges and retries, Attempts all leaf requests. An attempt that caused no load and its replacement
 	// count as one.
 	Extra, Attempts int
+	// Skipped counts the shards that were left out from the start because their leaves are overloaded, and not asked later.
+	Skipped int
 	// DegradedShards are the indices of shards for which leaves in other data centres are preferred,
 	// because those in the own data centre are slow or fail often.
 	DegradedShards []int
@@ -217,9 +219,13 @@
 	f := newFanOut(ctx, d.fanOutDeps, opts, leaves, began)
 	f.run()
 	for i := range f.shards {
-		if s := &f.shards[i]; s.answered {
+		s := &f.shards[i]
+		if s.answered {
 			result.Replies[i] = &s.reply
 		}
+		if s.skipped {
+			result.Skipped++
+		}
 	}
 	if delivery.PartialAfterMs > 0 {
 		f.recordPunctuality(state.skipper, delivery.Shards)
--- a/leaf/deliver_test.go
+++ b/leaf/deliver_test.go
@@ -162,20 +162,23 @@
 		d, _ := newDelivererAt(bubbleClock{started: time.Now()}, s, &fixedBudget{})
 		delivery := newDelivery(testRoute)
 		delivery.PartialAfterMs, delivery.GraceMs = 60, 100
-		early := 0
+		early, skipped := 0, 0
 		for range 100 {
 			result, took := deliver(d, delivery)
 			require.Equal(t, 2, result.Answered)
 			if took < 10*time.Millisecond {
 				early++
 			}
+			skipped += result.Skipped
 		}
+		require.Equal(t, early, skipped)
 		require.Greater(t, early, 40, "requests wait for the overloaded shard")
 		require.Greater(t, s.count("1-0"), 10, "some requests show whether the shard has recovered")
 		failing.Store(true)
 		for range 10 {
 			result, _ := deliver(d, delivery)
 			require.Equal(t, 2, result.Answered, "the shard is needed in place of the failed one")
+			require.Zero(t, result.Skipped)
 		}
 		time.Sleep(time.Second)
 	})
