directory: Try a failed source again after 0.3 s in control processes

Change: control processes, which follow all sources, try one that failed again after 0.3 s. Test: TestSourceThatStartsLaterIsFollowedSoon fails on the code before.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -166,6 +166,23 @@
 	require.Eventually(t, condition, within, 5*time.Millisecond, message)
 }
 
+// TestSourceThatStartsLaterIsFollowedSoon has a control process that starts before its only seed. If it avoided the seed for long after
+// the first failure, a seed that knows no other control process would have nothing to tell for that time.
+func TestSourceThatStartsLaterIsFollowedSoon(t *testing.T) {
+	sources := startSources(t, 1)
+	sources[0].relay.SetDefault(standin.LinkCut)
+	peers := &peer.Pool{}
+	t.Cleanup(peers.Close)
+	f := directory.NewFollower(directory.FollowerOptions{
+		VM: "early", DataCentre: dataCentre(1), ControlAddress: "127.0.0.1:1", Seeds: []string{sources[0].relay.Address()},
+		Registry: leaf.NewRegistry(clock), Peers: peers, Clock: clock, Logf: t.Logf,
+	})
+	serve(t, f)
+	time.Sleep(200 * time.Millisecond)
+	sources[0].relay.SetDefault(standin.LinkPass)
+	eventually(t, time.Second, f.UpToDate, "the seed is followed")
+}
+
 // TestChangesReachAllFollowers announces a leaf to one source and its drain to another, and applies a routing document at all.
 func TestChangesReachAllFollowers(t *testing.T) {
 	sources := startSources(t, 3)
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -24,8 +24,11 @@
 	sourcesPerEntry = 2
 	// staleLeaderMs is the time without contact with a leader after which a source is stale: it may have missed changes.
 	staleLeaderMs samphirepass.Millis = 1500
-	// sourceCooldownMs is how long a source that failed is avoided.
+	// sourceCooldownMs is how long a source that failed is avoided while there are others.
 	sourceCooldownMs samphirepass.Millis = 2000
+	// controlRetryMs is how long a control process, which follows all sources, waits before it tries one that failed again. After a
+	// restart of all processes, those that start first find nobody, and others learn of them only by their polls.
+	controlRetryMs samphirepass.Millis = 300
 	// localRetryMs is the time between tries of a source in the follower's own data centre that did not answer: a try may take as long
 	// as a poll.
 	localRetryMs samphirepass.Millis = 10_000
@@ -129,7 +132,7 @@
 	f := &Follower{opts: opts, sources: map[string]*sourceState{}}
 	for _, seed := range opts.Seeds {
 		if seed != opts.ControlAddress {
-			f.sources[seed] = &sourceState{seed: true, failedAt: -sourceCooldownMs}
+			f.sources[seed] = &sourceState{seed: true, failedAt: opts.Clock.Now() - sourceCooldownMs}
 		}
 	}
 	return f
@@ -225,7 +228,7 @@
 		if s.followed || address == f.opts.ControlAddress {
 			continue
 		}
-		if f.opts.ControlAddress != "" && now-s.failedAt < sourceCooldownMs {
+		if f.opts.ControlAddress != "" && now-s.failedAt < controlRetryMs {
 			continue
 		}
 		// The hash includes the VM, so that followers prefer different sources.
