--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -227,11 +227,23 @@
 	}
 }
 
-// discountOwnDelay reports whether the timer fired late. It then gives each shard that much more time before a hedge, as answers may
-// have arrived that were not read yet: hedging all shards at once would double the load on the leaves and on this process.
+// discountOwnDelay reports whether the timer fired late and many shards seem late. It then gives each shard that much more time before
+// a hedge, as answers may have arrived that were not read yet: hedging all shards at once would double the load on the leaves and on
+// this process.
 func (f *fanOut) discountOwnDelay() bool {
-	late := f.clock.Now() - f.timerAt
-	if late < ownDelayMs {
+	delay, ok := f.hedger.Delay()
+	now := f.clock.Now()
+	late := now - f.timerAt
+	if !ok || late < ownDelayMs {
+		return false
+	}
+	due := 0
+	for i := range f.shards {
+		if s := &f.shards[i]; !s.closed && s.inFlight == 1 && now-s.hedgeFrom >= delay {
+			due++
+		}
+	}
+	if float64(due) < ownDelayShardShare*float64(len(f.shards)) {
 		return false
 	}
 	for i := range f.shards {
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -15,6 +15,8 @@
 	timerToleranceMs samphirepass.Millis = 0.001
 	// ownDelayMs is the lateness of a timer from which this process was short of processor time and may not have read answers yet.
 	ownDelayMs samphirepass.Millis = 5
+	// ownDelayShardShare is the share of a request's shards that seem late together in that case; fewer are late by themselves.
+	ownDelayShardShare = 0.25
 )
 
 // attemptResult is the outcome of one attempt.
