leaf: Tell a leaf at least half of the time that is left

Since leaves that state no time of their own are told the whole time left, overloaded ones work longer on requests whose answers come too late; before, their whole latency was taken off, down to nothing. Change: the measured time is taken off again, but half of what is left at most, so that no leaf is told that it has no time. Test: TestSlowLeafIsToldEnoughTime.

--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -207,7 +207,7 @@
 	t.recordLatencyLocked(now, took, expected)
 	t.failureRate.Add(now, false)
 	t.refusalRate.Add(now, false)
-	if network := took - r.WorkedMs; r.WorkedMs > 0 && network > 0 {
+	if network := took - r.WorkedMs; network > 0 {
 		t.meanNetworkLatency += (network - t.meanNetworkLatency) * networkEWMAWeight
 	}
 }
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -14,6 +14,9 @@
 	"samphirepass"
 )
 
+// minToldDeadlineFraction is the least fraction of the time left that a leaf is told.
+const minToldDeadlineFraction = 0.5
+
 var (
 	// errExpired means that the deadline of an attempt passed before it could be sent.
 	errExpired = eris.New("the deadline passed before the request was sent")
@@ -124,9 +127,11 @@
 	if err := pc.connect(ctx, to.Address); err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("send to %s: %w", to.Leaf, err))
 	}
-	remaining := a.ExpiresAtMs - s.clock.Now() - t.currentNetworkLatency()
+	left := a.ExpiresAtMs - s.clock.Now()
+	// A leaf that does not state its own time seems to spend all of it on the network, and an overloaded one must still get some.
+	remaining := max(left-t.currentNetworkLatency(), left*minToldDeadlineFraction)
 	switch {
-	case remaining <= 0:
+	case left <= 0:
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errExpired)
 	case a.Permit != nil && !a.Permit.Use():
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errWithdrawn)
--- a/leaf/withdraw_test.go
+++ b/leaf/withdraw_test.go
@@ -151,3 +151,18 @@
 	_, ok := b.deadline("second")
 	require.False(t, ok, "a request that was reported as not run arrived")
 }
+
+// TestSlowLeafIsToldEnoughTime guards against taking the whole latency of a leaf, which is all that is known of one that does not state
+// its own time, for time on the network: a slow leaf would be told that next to no time is left.
+func TestSlowLeafIsToldEnoughTime(t *testing.T) {
+	const deadline samphirepass.Millis = 120
+	b := startBusyLeaf(t, 90*time.Millisecond)
+	d := newBusyDeliverer(b)
+	for range 20 {
+		deliver(d, busyDelivery("warm", 1, deadline))
+	}
+	deliver(d, busyDelivery("last", 1, deadline))
+	told, ok := b.deadline("last")
+	require.True(t, ok)
+	require.Greater(t, told, 0.4*deadline, "half of the time left, less the time until it was sent")
+}
