--- a/leaf/answer.go
+++ b/leaf/answer.go
@@ -18,8 +18,10 @@
 	maxReadingBytes = 16 << 20
 	// firstBodyBytes is the size of the buffer for a body of unknown length, which most bodies fit into.
 	firstBodyBytes = 4 << 10
-	// framingFactor times the bound of a body is the bound of its bytes on the wire, chunk sizes and trailers included.
-	framingFactor = 2
+	// A body may come with maxFramingBytes and 1/framingDivisor of its length as chunk sizes and trailers, so that no time goes into
+	// endless tiny chunks.
+	maxFramingBytes = 64 << 10
+	framingDivisor  = 8
 )
 
 // errTooLong means that an answer was longer than its limits.
@@ -37,6 +39,8 @@
 type boundedReader struct {
 	source    io.Reader
 	remaining int64
+	// read counts the bytes since it was last set to 0.
+	read int64
 }
 
 // Read returns errTooLong once the bound is reached.
@@ -46,6 +50,7 @@
 	}
 	n, err := b.source.Read(p[:min(int64(len(p)), b.remaining)])
 	b.remaining -= int64(n)
+	b.read += int64(n)
 	return n, err
 }
 
@@ -60,8 +65,9 @@
 		if resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		pc.bounded.remaining = framingFactor*limits.body + maxHeadBytes
-		body, err := readBody(resp, limits)
+		pc.bounded.remaining = limits.body + limits.body/framingDivisor + maxFramingBytes
+		pc.bounded.read = 0
+		body, err := readBody(resp, limits, &pc.bounded)
 		if err != nil {
 			return nil, nil, fmt.Errorf("read answer's body: %w", err)
 		}
@@ -69,9 +75,14 @@
 	}
 }
 
-// readBody returns the whole body. The memory for it is taken as its bytes arrive, whatever length the leaf announced.
-func readBody(resp *http.Response, limits answerLimits) ([]byte, error) {
-	defer resp.Body.Close()
+// readBody returns the whole body, which comes through wire. The memory for it is taken as its bytes arrive, whatever length the leaf
+// announced.
+func readBody(resp *http.Response, limits answerLimits, wire *boundedReader) ([]byte, error) {
+	defer func() {
+		// Close reads the body to its end, which is of no use after an error and may never come.
+		wire.remaining = 0
+		_ = resp.Body.Close()
+	}()
 	if resp.ContentLength > limits.body {
 		return nil, fmt.Errorf("%w: Content-Length is %d", errTooLong, resp.ContentLength)
 	}
@@ -108,6 +119,9 @@
 		}
 		n, err := resp.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
+		if length := int64(len(body)); wire.read-length > maxFramingBytes+length/framingDivisor {
+			return nil, fmt.Errorf("%w: more framing than body", errTooLong)
+		}
 		switch {
 		case err == io.EOF && resp.ContentLength >= 0 && int64(len(body)) < resp.ContentLength:
 			return nil, io.ErrUnexpectedEOF
