leaf: Restore the comment of two constants

Cause: read as a newcomer: the comment on the failure rate was lost when the refusal rate came. Change: comments only.

--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -16,11 +16,13 @@
 	networkEWMAWeight = 0.1
 	// medianWindow is the number of answers in a leaf's median latency. Overlapping attempts count once, so a pause distorts
 	// one answer and leaves the median unchanged, while a leaf that has become slow shifts it with the second slow answer.
-	medianWindow                           = 3
+	medianWindow = 3
+	// failureRateWeight is the weight of a finished attempt in the moving average of failures,
+	// failureRateDecayMs the time constant of its exponential decay: after it 1/e of the rate is left.
 	failureRateWeight                      = 0.1
 	failureRateDecayMs samphirepass.Millis = 5000
-	// A leaf may refuse part of its requests for some seconds without being busy. A refusal costs it nothing and comes at once,
-	// so only the refusals themselves show it, and they are forgotten sooner than failures.
+	// refusalRateWeight and refusalRateDecayMs are the same for refusals. A leaf may refuse part of its requests for some seconds
+	// without being busy: only the refusals themselves show it, and they are forgotten sooner than failures.
 	refusalRateWeight                      = 0.15
 	refusalRateDecayMs samphirepass.Millis = 2000
 	// defaultScaleMs is the scale of latencies of attempts without an expected latency.
