leaf: Judge whether a request has run by its attempts in flight only

Cause: read as a newcomer: an attempt that a leaf had refused counted as sent at the end of a request whose next attempt still waited for a connection, so an at-most-once request that no leaf ran was reported as possibly run, and its client could not send it again. Change: the permit of an attempt is dropped with its result. Test: TestProofRefusedThenUnsentHasNotRun fails on the code before.

--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -84,7 +84,7 @@
 
 func (f *fanOut) sendAttempt(ctx context.Context, shard int, reg Registration, a samphirepass.Attempt) {
 	began := f.clock.Now()
-	r := attemptResult{shard: shard, leaf: reg.Leaf}
+	r := attemptResult{shard: shard, leaf: reg.Leaf, permit: a.Permit}
 	defer func() {
 		// An answer that a decoder cannot cope with fails the attempt, not the process.
 		if reason := recover(); reason != nil {
@@ -102,6 +102,7 @@
 func (f *fanOut) handleResult(r attemptResult) {
 	s := &f.shards[r.shard]
 	s.inFlight--
+	s.permits = slices.DeleteFunc(s.permits, func(p *samphirepass.SendPermit) bool { return p == r.permit })
 	if s.closed {
 		return
 	}
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -21,12 +21,13 @@
 
 // attemptResult is the outcome of one attempt.
 type attemptResult struct {
-	shard int
-	leaf  samphirepass.Leaf
-	reply samphirepass.Reply
-	items []samphirepass.Item
-	took  samphirepass.Millis
-	err   error
+	shard  int
+	leaf   samphirepass.Leaf
+	permit *samphirepass.SendPermit
+	reply  samphirepass.Reply
+	items  []samphirepass.Item
+	took   samphirepass.Millis
+	err    error
 }
 
 // shardState is the progress of one shard of one request.
@@ -50,7 +51,7 @@
 	partial bool
 	reply   samphirepass.Reply
 	items   []samphirepass.Item
-	// permits holds one element for each attempt.
+	// permits holds those of the attempts in flight.
 	permits []*samphirepass.SendPermit
 	// cancels holds one function for each attempt; it is only filled if cancelDelay is 0.
 	cancels []context.CancelCauseFunc
@@ -219,7 +220,7 @@
 	}
 }
 
-// withdraw withdraws the unsent attempts on a shard, and reports whether none has been sent.
+// withdraw withdraws the unsent attempts in flight on a shard, and reports whether none has been sent.
 func (s *shardState) withdraw() bool {
 	unsent := true
 	for _, p := range s.permits {
--- a/leaf/gather_test.go
+++ b/leaf/gather_test.go
@@ -22,6 +22,8 @@
 	// answer is called with the leaf and the number of earlier attempts on it.
 	answer func(ctx context.Context, to samphirepass.Leaf, n int, a samphirepass.Attempt) (samphirepass.Reply, error)
 	counts map[samphirepass.Leaf]int
+	// waitAt is a leaf to which no attempt is sent until it is withdrawn.
+	waitAt samphirepass.Leaf
 }
 
 func (s *scriptedSender) Send(ctx context.Context, to samphirepass.Announcement, a samphirepass.Attempt) (samphirepass.Reply, error) {
@@ -32,6 +34,9 @@
 	n := s.counts[to.Leaf]
 	s.counts[to.Leaf]++
 	s.mu.Unlock()
+	if to.Leaf == s.waitAt {
+		<-a.Permit.Withdrawn()
+	}
 	if !a.Permit.Use() {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent)
 	}
--- a/leaf/withdraw_test.go
+++ b/leaf/withdraw_test.go
@@ -152,6 +152,24 @@
 	require.False(t, ok, "a request that was reported as not run arrived")
 }
 
+// TestProofRefusedThenUnsentHasNotRun has a leaf refuse an at-most-once request, whose second attempt then waits for a connection until
+// the deadline: neither leaf has run it.
+func TestProofRefusedThenUnsentHasNotRun(t *testing.T) {
+	s := &scriptedSender{answer: func(context.Context, samphirepass.Leaf, int, samphirepass.Attempt) (samphirepass.Reply, error) {
+		return samphirepass.Reply{}, attemptError(samphirepass.FailureShed)
+	}}
+	d, _ := newDeliverer(s, &fixedBudget{remaining: 10})
+	s.waitAt = "0-1"
+	route := testRoute
+	route.Kind = samphirepass.AtMostOnce
+	route.Services = []samphirepass.WeightedService{{Service: service(0), Weight: 1}}
+	delivery := newDelivery(route)
+	delivery.Request.DeadlineMs = 50
+	result, _ := deliver(d, delivery)
+	require.Equal(t, 1, s.count("0-0"))
+	require.False(t, result.MaybeRun)
+}
+
 // TestSlowLeafIsToldEnoughTime guards against taking the whole latency of a leaf, which is all that is known of one that does not state
 // its own time, for time on the network: a slow leaf would be told that next to no time is left.
 func TestSlowLeafIsToldEnoughTime(t *testing.T) {
