collector, policy: Split the choice of data centres from the client, and rename a method

Change: split.go holds how shards are split and which connections are opened; the method is Select. No behaviour. Result: the packages' tests pass.

--- /dev/null
+++ b/collector/split.go
@@ -0,0 +1,131 @@
+package collector
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"samphirepass"
+	"samphirepass/directory"
+	"samphirepass/policy"
+)
+
+// connect opens the connections to the collectors that a request over all shards would use.
+func (c *Client) connect() {
+	offers := c.usableOffers()
+	var shards []samphirepass.Service
+	if c.opts.Shards != nil {
+		shards = c.opts.Shards()
+	}
+	c.connectTo(policy.SplitShards(c.shardDataCentres(shards), c.opts.DataCentre, offerDataCentres(offers)), offers)
+}
+
+// connectTo opens the connections to the collectors in this entry's own data centre and in those of the parts.
+func (c *Client) connectTo(parts []samphirepass.ShardPart, offers []directory.CollectorOffer) {
+	for _, offer := range offers {
+		if offer.DataCentre == c.opts.DataCentre || slices.ContainsFunc(parts, func(p samphirepass.ShardPart) bool { return p.DataCentre == offer.DataCentre }) {
+			c.opts.Peers.Get(offer.Address).Preconnect()
+		}
+	}
+}
+
+// splitShards splits a request's shards by the data centres in which they are collected. If a data centre that suits best has no usable
+// collector, the next best one takes its part.
+func (c *Client) splitShards(dataCentres [][]samphirepass.DataCentre, offers []directory.CollectorOffer) []samphirepass.ShardPart {
+	var usableOffers []directory.CollectorOffer
+	c.mu.Lock()
+	for _, offer := range offers {
+		if policy.CollectorUsable(c.candidateLocked(offer)) {
+			usableOffers = append(usableOffers, offer)
+		}
+	}
+	c.mu.Unlock()
+	all, usable := offerDataCentres(offers), offerDataCentres(usableOffers)
+	for range maxSplits {
+		parts := policy.SplitShards(dataCentres, c.opts.DataCentre, all)
+		isUnusable := func(dataCentre samphirepass.DataCentre) bool {
+			return dataCentre != c.opts.DataCentre && !slices.Contains(usable, dataCentre) && slices.ContainsFunc(parts, func(p samphirepass.ShardPart) bool { return p.DataCentre == dataCentre })
+		}
+		if !slices.ContainsFunc(all, isUnusable) {
+			return parts
+		}
+		// Later requests may use these data centres.
+		c.connectTo(parts, offers)
+		all = slices.DeleteFunc(all, isUnusable)
+	}
+	return policy.SplitShards(dataCentres, c.opts.DataCentre, usable)
+}
+
+// usableOffers returns the collectors that this entry may use: those in its own data centre that are much larger than itself, and
+// those in other data centres. They are ordered by a hash of the VM and their address, so that the entries spread over the collectors.
+func (c *Client) usableOffers() []directory.CollectorOffer {
+	all := c.opts.Offers()
+	hash := func(offer directory.CollectorOffer) uint64 {
+		return xxhash.Sum64String(string(c.opts.VM) + "/" + offer.Address)
+	}
+	slices.SortFunc(all, func(a, b directory.CollectorOffer) int { return cmp.Compare(hash(a), hash(b)) })
+	return slices.DeleteFunc(all, func(offer directory.CollectorOffer) bool {
+		return offer.DataCentre == c.opts.DataCentre && !offer.Capacity.SuitsOffloadFrom(c.opts.Capacity)
+	})
+}
+
+// offerDataCentres returns the distinct data centres of the offers.
+func offerDataCentres(offers []directory.CollectorOffer) []samphirepass.DataCentre {
+	var dataCentres []samphirepass.DataCentre
+	for _, offer := range offers {
+		if !slices.Contains(dataCentres, offer.DataCentre) {
+			dataCentres = append(dataCentres, offer.DataCentre)
+		}
+	}
+	return dataCentres
+}
+
+// shardDataCentres returns, for each shard, the data centres of its leaves. Data centres in which the shard is degraded are left
+// out, unless it is degraded in all of them.
+func (c *Client) shardDataCentres(shards []samphirepass.Service) [][]samphirepass.DataCentre {
+	dataCentres := make([][]samphirepass.DataCentre, len(shards))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Clock.Now()
+	for i, s := range shards {
+		leaves := c.opts.Registry.Serving(s)
+		for _, reg := range leaves {
+			if c.degradedUntil[shardLocation{s, reg.DataCentre}] <= now {
+				dataCentres[i] = append(dataCentres[i], reg.DataCentre)
+			}
+		}
+		if len(dataCentres[i]) > 0 {
+			continue
+		}
+		for _, reg := range leaves {
+			dataCentres[i] = append(dataCentres[i], reg.DataCentre)
+		}
+	}
+	return dataCentres
+}
+
+// updateDegraded records which shards of a part, given by index, are degraded in the data centre that collected it, and clears
+// the others.
+func (c *Client) updateDegraded(shards []samphirepass.Service, degraded []int, dataCentre samphirepass.DataCentre) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := c.opts.Clock.Now() + degradedTTLMs
+	for i, s := range shards {
+		key := shardLocation{s, dataCentre}
+		if slices.Contains(degraded, i) {
+			c.degradedUntil[key] = until
+		} else {
+			delete(c.degradedUntil, key)
+		}
+	}
+}
+
+// removeExpired deletes the shard locations that are no longer degraded.
+func (c *Client) removeExpired() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Clock.Now()
+	maps.DeleteFunc(c.degradedUntil, func(_ shardLocation, until samphirepass.Millis) bool { return until <= now })
+}
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -207,7 +207,7 @@
 		}
 	}
 	if delivery.PartialAfterMs > 0 {
-		opts.skip = state.skipper.Skip(delivery.Shards, result.KnownShards-opts.requiredShards)
+		opts.skip = state.skipper.Select(delivery.Shards, result.KnownShards-opts.requiredShards)
 	}
 	opts.newAttempt = func(shard int) samphirepass.Attempt {
 		return samphirepass.Attempt{
--- a/policy/overloaded_shards_test.go
+++ b/policy/overloaded_shards_test.go
@@ -117,7 +117,7 @@
 			e := emulation{slots: tt.slots, perS: 190, requests: 20_000}
 			baseline, _ := e.run(func([]samphirepass.Service) []int { return nil }, func(samphirepass.Service, bool) {})
 			skipper := policy.NewShardSkipper()
-			served, whole := e.run(func(shards []samphirepass.Service) []int { return skipper.Skip(shards, len(shards)-requiredShards) }, skipper.Record)
+			served, whole := e.run(func(shards []samphirepass.Service) []int { return skipper.Select(shards, len(shards)-requiredShards) }, skipper.Record)
 			t.Logf("served in time: %.3f without skipping, %.3f with it, mean share of shards %.3f", baseline, served, whole)
 			require.GreaterOrEqual(t, served, tt.minServed)
 			require.GreaterOrEqual(t, served, baseline+tt.minGain)
@@ -132,22 +132,22 @@
 		s.Record("a", false)
 	}
 	for range 1000 {
-		require.Empty(t, s.Skip([]samphirepass.Service{"a", "b"}, 1))
+		require.Empty(t, s.Select([]samphirepass.Service{"a", "b"}, 1))
 	}
 	for range 50 {
 		s.Record("a", false)
 	}
 	skipped := 0
 	for range 1000 {
-		skipped += len(s.Skip([]samphirepass.Service{"a", "b"}, 1))
+		skipped += len(s.Select([]samphirepass.Service{"a", "b"}, 1))
 	}
 	require.Greater(t, skipped, 700)
 	require.Less(t, skipped, 950, "some requests show when the shard has recovered")
-	require.Empty(t, s.Skip([]samphirepass.Service{"a", "b"}, 0), "a request that may lack no shard leaves none out")
+	require.Empty(t, s.Select([]samphirepass.Service{"a", "b"}, 0), "a request that may lack no shard leaves none out")
 	for range 100 {
 		s.Record("a", true)
 	}
 	for range 1000 {
-		require.Empty(t, s.Skip([]samphirepass.Service{"a", "b"}, 1))
+		require.Empty(t, s.Select([]samphirepass.Service{"a", "b"}, 1))
 	}
 }
--- a/policy/skip.go
+++ b/policy/skip.go
@@ -32,8 +32,8 @@
 	return &ShardSkipper{levels: map[samphirepass.Service]float64{}}
 }
 
-// Skip returns the indices of the shards to leave out of a request, which may lack up to allowed of them.
-func (s *ShardSkipper) Skip(shards []samphirepass.Service, allowed int) []int {
+// Select returns the indices of the shards to leave out of a request, which may lack up to allowed of them.
+func (s *ShardSkipper) Select(shards []samphirepass.Service, allowed int) []int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if allowed <= 0 || len(s.levels) == 0 {
