--- a/attempt.go
+++ b/attempt.go
@@ -36,6 +36,8 @@
 	Load float64
 	// WorkedMs is the time that the request spent at the leaf.
 	WorkedMs Millis
+	// WaitedMs is the time from the start of the attempt until it was sent, spent waiting for a connection and for the processor.
+	WaitedMs Millis
 	// Answer is set for a forwarded request.
 	Answer *LeafAnswer
 }
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -18,6 +18,7 @@
 	"samphirepass/directory"
 	"samphirepass/leaf"
 	"samphirepass/logs"
+	"samphirepass/metrics"
 	"samphirepass/peer"
 	"samphirepass/standin"
 )
@@ -79,7 +80,7 @@
 	t.Helper()
 	tc := &testCollector{deliverer: &fakeDeliverer{wait: wait}}
 	handlers := peer.NewHandlers()
-	collector.NewServer(tc.deliverer, tc.stopping.Load, logs.Logger{}).Register(handlers)
+	collector.NewServer(tc.deliverer, tc.stopping.Load, metrics.NewMetrics(), logs.Logger{}).Register(handlers)
 	ws := peer.NewServer(handlers)
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, ws)
--- a/collector/server.go
+++ b/collector/server.go
@@ -6,7 +6,9 @@
 
 	"samphirepass"
 	"samphirepass/gateway"
+	"samphirepass/leaf"
 	"samphirepass/logs"
+	"samphirepass/metrics"
 	"samphirepass/peer"
 )
 
@@ -18,13 +20,14 @@
 type Server struct {
 	deliverer gateway.Deliverer
 	stopping  func() bool
+	metrics   *metrics.Metrics
 	log       logs.Logger
 	inFlight  atomic.Int64
 }
 
 // NewServer returns a server that asks the leaves through deliverer, and refuses requests once stopping reports true.
-func NewServer(deliverer gateway.Deliverer, stopping func() bool, log logs.Logger) *Server {
-	return &Server{deliverer: deliverer, stopping: stopping, log: log}
+func NewServer(deliverer gateway.Deliverer, stopping func() bool, m *metrics.Metrics, log logs.Logger) *Server {
+	return &Server{deliverer: deliverer, stopping: stopping, metrics: m, log: log}
 }
 
 // Register adds the handler for collect requests to h.
@@ -45,7 +48,8 @@
 		return collectReply{}, samphirepass.Refuse(samphirepass.CodeOverloaded, "%d requests are being collected", inFlight)
 	}
 	// The times of the delivery count from its sending.
-	d = withElapsed(d, peer.Age(ctx))
+	transit := peer.Age(ctx)
+	d = withElapsed(d, transit)
 	ctx, cancel := context.WithTimeout(ctx, d.Request.DeadlineMs.Duration())
 	defer cancel()
 	result := s.deliverer.Deliver(ctx, d)
@@ -59,7 +63,19 @@
 	if result.Answered > 0 && result.Answered >= result.RequiredShards {
 		reply.Merged = gateway.MergeReplies(d, result)
 	}
+	s.observeStages(transit, result.Timing)
 	s.log.RequestEvent("Request collected.", "request", d.Request.ID, "route", d.Route.Name, "shards", len(d.Shards),
-		"answered", result.Answered, "attempts", result.Attempts, "extra", result.Extra, "skipped", result.Skipped, "far", result.CrossCentreAttempts, "poor", len(result.DegradedShards), "last-leaf", result.LastLeaf, "last-error", reply.LastError)
+		"answered", result.Answered, "attempts", result.Attempts, "extra", result.Extra, "skipped", result.Skipped, "far", result.CrossCentreAttempts, "poor", len(result.DegradedShards), "last-leaf", result.LastLeaf, "last-error", reply.LastError,
+		"running", inFlight, "transit-ms", int(transit), "start-ms", int(result.Timing.StartMs), "send-wait-ms", int(result.Timing.SendWaitMs),
+		"leaf-ms", int(result.Timing.LeafMs), "handle-wait-ms", int(result.Timing.HandleWaitMs), "timer-late-ms", int(result.Timing.TimerLateMs))
 	return reply, nil
 }
+
+// observeStages records where the time of a request went.
+func (s *Server) observeStages(transit samphirepass.Millis, t leaf.Timing) {
+	s.metrics.ObserveStage(metrics.StageTransit, transit)
+	s.metrics.ObserveStage(metrics.StageStart, t.StartMs)
+	s.metrics.ObserveStage(metrics.StageSendWait, t.SendWaitMs)
+	s.metrics.ObserveStage(metrics.StageLeaf, t.LeafMs)
+	s.metrics.ObserveStage(metrics.StageHandleWait, t.HandleWaitMs)
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -88,7 +88,7 @@
 		Registry: g.registry, Pool: g.pool, Sender: leaf.NewSender(g.pool, platform.LeafProtocol{}, clock), DataCentre: cfg.DataCentre,
 		Chooser: policy.LeastCostChooser{}, Clock: clock, Budget: g.retryBudget, ExtraPercent: extraPercent,
 	})
-	g.collectorServer = collector.NewServer(g.deliverer, g.stopping.Load, log.For("collector"))
+	g.collectorServer = collector.NewServer(g.deliverer, g.stopping.Load, g.metrics, log.For("collector"))
 	g.collectorClient = collector.NewClient(collector.Options{
 		VM: cfg.VM, Local: g.deliverer, Registry: g.registry, Peers: g.peers, Offers: g.follower.Offers, Shards: g.shards, DataCentre: cfg.DataCentre,
 		Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -90,7 +90,8 @@
 		if reason := recover(); reason != nil {
 			r.err = attemptError(samphirepass.FailureLost, eris.Errorf("attempt on %s panicked: %v", reg.Leaf, reason))
 		}
-		r.took = f.clock.Now() - began
+		r.endedAt = f.clock.Now()
+		r.took = r.endedAt - began
 		f.results <- r
 	}()
 	r.reply, r.err = f.sender.Send(ctx, reg.Announcement, a)
@@ -111,6 +112,7 @@
 		return
 	}
 	f.hedger.Observe(r.took)
+	f.times.record(r, f.clock.Now())
 	// A reply that the leaf itself marks as partial is kept in case no other leaf returns more.
 	if r.reply.Partial {
 		f.handlePartial(r)
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -83,6 +83,8 @@
 	HalfAnsweredMs samphirepass.Millis
 	// Shed is set if shards are missing and leaves refused work or the deadline passed.
 	Shed bool
+	// Timing says where the time went.
+	Timing Timing
 }
 
 // Deliverer sends client requests to leaves as their routes declare; it is safe for concurrent use.
@@ -232,6 +234,7 @@
 	}
 	result.LastErr, result.LastLeaf = f.lastErr, f.lastLeaf
 	result.Answered, result.Failure, result.MaybeRun = f.answeredShards, f.failure, f.maybeRun || f.mayStillRun
+	result.Timing = f.times.result()
 	result.CrossCentreAttempts = f.crossCentreAttempts
 	if delivery.Route.IsScatterGather() {
 		result.DegradedShards = f.degradedShards()
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -27,7 +27,9 @@
 	reply  samphirepass.Reply
 	items  []samphirepass.Item
 	took   samphirepass.Millis
-	err    error
+	// endedAt is when the attempt ended.
+	endedAt samphirepass.Millis
+	err     error
 }
 
 // shardState is the progress of one shard of one request.
@@ -132,6 +134,7 @@
 	// lastErr is the error of the most recent failed attempt, lastLeaf the leaf that it was sent to.
 	lastErr  error
 	lastLeaf samphirepass.Leaf
+	times    timingRecorder
 	// failure is the last reply of a leaf that ran an attempt and reported a failure.
 	failure *samphirepass.Reply
 }
@@ -164,12 +167,14 @@
 			f.shards[i].closed = true
 		}
 	}
+	f.times.timing.StartMs = f.clock.Now() - f.began
 	f.resetTimer()
 	for !f.acceptPartial() && f.canSucceed() && f.openShards > 0 {
 		select {
 		case r := <-f.results:
 			f.handleResult(r)
 		case <-f.timer.C:
+			f.times.timing.TimerLateMs = max(f.times.timing.TimerLateMs, f.clock.Now()-f.timerAt)
 			if !f.discountOwnDelay() {
 				f.hedgeLateShards()
 			}
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -54,7 +54,7 @@
 	att := inFlightAttempt{startedAt: began, expected: a.ExpectedMs}
 	t.start(att)
 	defer t.finish(att)
-	reply, err := s.send(ctx, t, to, a)
+	reply, err := s.send(ctx, t, to, a, began)
 	s.record(ctx, t, att, reply, err)
 	return reply, err
 }
@@ -86,7 +86,7 @@
 	}
 }
 
-func (s *Sender) send(ctx context.Context, t *target, to samphirepass.Announcement, a samphirepass.Attempt) (samphirepass.Reply, error) {
+func (s *Sender) send(ctx context.Context, t *target, to samphirepass.Announcement, a samphirepass.Attempt, began samphirepass.Millis) (samphirepass.Reply, error) {
 	pc, err := t.conns.acquire(ctx, a.Permit)
 	if err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("wait for a connection: %w", err))
@@ -97,12 +97,15 @@
 		pc.close()
 	}
 	reused := pc.conn != nil
+	sent := s.clock.Now()
 	reply, err := s.exchange(ctx, t, pc, to, a)
 	if reused && ctx.Err() == nil && errors.Is(err, errNotWritten) {
 		// The leaf may have closed the idle connection, so the attempt goes out on a new one.
 		pc.close()
+		sent = s.clock.Now()
 		reply, err = s.exchange(ctx, t, pc, to, a)
 	}
+	reply.WaitedMs = sent - began
 	if errors.Is(err, errExpired) || errors.Is(err, errWithdrawn) {
 		return reply, err
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -39,6 +39,7 @@
 	attempts *prometheus.CounterVec
 	extra    *prometheus.CounterVec
 	runs     *prometheus.CounterVec
+	stages   *prometheus.HistogramVec
 
 	// totalAttempts and totalExtra are the sums of attempts and extra over all services.
 	totalAttempts, totalExtra atomic.Int64
@@ -68,7 +69,11 @@
 	m.runs = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "samphirepass_runs_total", Help: "Requests that may not be repeated, by how they ended.",
 	}, []string{"service", "state"})
-	m.registry.MustRegister(m.queries, m.requests, m.attempts, m.extra, m.runs)
+	m.stages = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "samphirepass_collect_stage_seconds", Help: "Time of collected requests by stage.",
+		Buckets: []float64{.001, .002, .005, .01, .02, .03, .045, .06, .1, .15, .25, .5, 1},
+	}, []string{"stage"})
+	m.registry.MustRegister(m.queries, m.requests, m.attempts, m.extra, m.runs, m.stages)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -111,6 +116,28 @@
 	return m.totalAttempts.Load(), m.totalExtra.Load()
 }
 
+// CollectStage is a stage of a collected request, as a metrics label.
+type CollectStage string
+
+// The stages of a collected request. The waits are the longest of its attempts, StageLeaf is the median.
+const (
+	// StageTransit is the delay on the way to the collector.
+	StageTransit CollectStage = "transit"
+	// StageStart is the time to start the first attempts.
+	StageStart CollectStage = "start"
+	// StageSendWait is the wait for a connection and for the processor.
+	StageSendWait CollectStage = "send-wait"
+	// StageLeaf is the time of a leaf, network included.
+	StageLeaf CollectStage = "leaf"
+	// StageHandleWait is the wait of an answer for the processor.
+	StageHandleWait CollectStage = "handle-wait"
+)
+
+// ObserveStage records the duration of one stage of a collected request.
+func (m *Metrics) ObserveStage(stage CollectStage, took samphirepass.Millis) {
+	m.stages.WithLabelValues(string(stage)).Observe(float64(took) * secondsPerMilli)
+}
+
 // Run records one run with its state.
 func (m *Metrics) Run(s samphirepass.Service, state samphirepass.RunState) {
 	m.runs.WithLabelValues(string(s), string(state)).Inc()
