--- a/directory/offers_test.go
+++ b/directory/offers_test.go
@@ -105,3 +105,16 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 }
+
+// TestProofCollectorsGrowWithEntries guards against the one large entry of a data centre collecting for however many small ones.
+func TestProofCollectorsGrowWithEntries(t *testing.T) {
+	sources := startSources(t, 1)
+	startEntryWithCapacity(t, "1", 0.5, sources)
+	var small []*directory.Follower
+	for i := range 17 {
+		small = append(small, startEntryWithCapacity(t, fmt.Sprint(i+2), 0.2, sources))
+	}
+	for _, f := range small {
+		eventually(t, 15*time.Second, func() bool { return f.CollectorCount() >= 3 }, "several entries collect for the others")
+	}
+}
