collector, directory: Share the work of collecting among entries of all sizes

Change: registrars also select entries of any size, in proportion to those of a data centre; a request's shards are spread over them, and its parts share what may be missing: a part that lacks more than its share returns the answers so far, and goes on if the others do not make up for it.

--- a/collector/messages.go
+++ b/collector/messages.go
@@ -1,11 +1,17 @@
 package collector
 
 import (
+	"github.com/rotisserie/eris"
+
 	"samphirepass"
+	"samphirepass/gateway"
 	"samphirepass/leaf"
 )
 
-const kindCollect = "collect"
+const (
+	kindCollect     = "collect"
+	kindCollectRest = "collect-rest"
+)
 
 // collectReply is the result of a scatter-gather request at a collector.
 type collectReply struct {
@@ -20,6 +26,40 @@
 	// DegradedShards are the indices of the shards that are better collected in another data centre for a while.
 	DegradedShards []int
 	Skipped        int
+	// Unfinished identifies the delivery if the collector still waits for leaves, for a collectRestRequest; otherwise it is 0.
+	Unfinished uint64
+}
+
+// collectRestRequest asks for the complete result of a delivery of which the answers so far were returned.
+type collectRestRequest struct {
+	Unfinished uint64
+}
+
+// newCollectReply returns the reply for the result of a delivery.
+func newCollectReply(d leaf.Delivery, result leaf.DeliveryResult) collectReply {
+	reply := collectReply{
+		Answered: result.Answered, Known: result.KnownShards, RequiredShards: result.RequiredShards, Extra: result.Extra, Attempts: result.Attempts,
+		MaybeRun: result.MaybeRun, LastLeaf: result.LastLeaf, DegradedShards: result.DegradedShards, Skipped: result.Skipped,
+	}
+	if result.LastErr != nil {
+		reply.LastError = result.LastErr.Error()
+	}
+	if result.Answered > 0 && result.Answered >= result.RequiredShards {
+		reply.Merged = gateway.MergeReplies(d, result)
+	}
+	return reply
+}
+
+// result returns the result of the delivery.
+func (r collectReply) result() leaf.DeliveryResult {
+	result := leaf.DeliveryResult{
+		Merged: r.Merged, Answered: r.Answered, KnownShards: r.Known, RequiredShards: r.RequiredShards, Extra: r.Extra,
+		Attempts: r.Attempts, MaybeRun: r.MaybeRun, LastLeaf: r.LastLeaf, DegradedShards: r.DegradedShards, Skipped: r.Skipped,
+	}
+	if r.LastError != "" {
+		result.LastErr = eris.New(r.LastError)
+	}
+	return result
 }
 
 // collectRequest is a scatter-gather request together with its route, so that the routing of the entry that received the request
--- a/collector/server.go
+++ b/collector/server.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"samphirepass"
 	"samphirepass/gateway"
@@ -16,6 +19,9 @@
 // A lower limit would make more entries ask the leaves themselves, and leaves accept only few connections.
 const maxInFlight = 128
 
+// restTimeoutMs is how long a delivery goes on after its answers so far were returned unless the rest is asked for.
+const restTimeoutMs samphirepass.Millis = 100
+
 // Server answers the requests that other entries forward to this collector; it is safe for concurrent use.
 type Server struct {
 	deliverer gateway.Deliverer
@@ -23,52 +29,129 @@
 	metrics   *metrics.Metrics
 	log       logs.Logger
 	inFlight  atomic.Int64
+
+	mu sync.Mutex
+	// unfinished holds the deliveries of which the answers so far were returned, by the numbers in those replies.
+	unfinished     map[uint64]*unfinishedDelivery
+	lastUnfinished uint64
+}
+
+// unfinishedDelivery is a delivery that still waits for leaves.
+type unfinishedDelivery struct {
+	// done receives the reply once the delivery has ended.
+	done   <-chan collectReply
+	cancel context.CancelFunc
+	expiry *time.Timer
 }
 
 // NewServer returns a server that asks the leaves through deliverer, and refuses requests once stopping reports true.
 func NewServer(deliverer gateway.Deliverer, stopping func() bool, m *metrics.Metrics, log logs.Logger) *Server {
-	return &Server{deliverer: deliverer, stopping: stopping, metrics: m, log: log}
+	return &Server{deliverer: deliverer, stopping: stopping, metrics: m, log: log, unfinished: map[uint64]*unfinishedDelivery{}}
 }
 
-// Register adds the handler for collect requests to h.
+// Register adds the handlers for collect requests to h.
 func (s *Server) Register(h *peer.Handlers) {
 	peer.HandleCall(h, kindCollect, s.collect)
+	peer.HandleCall(h, kindCollectRest, s.collectRest)
 }
 
+// collect delivers a request. If fewer shards have answered in time than are due, it returns the answers so far while the delivery goes
+// on: together with those of other collectors they may be enough.
 func (s *Server) collect(ctx context.Context, req collectRequest) (collectReply, error) {
 	d := req.Delivery
 	d.Route.ShardServices = d.Shards
-	inFlight := s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
 	if s.stopping() {
 		return collectReply{}, samphirepass.Refuse(samphirepass.CodeStopping, "the collector is stopping")
 	}
+	inFlight := s.inFlight.Add(1)
 	if inFlight > maxInFlight {
+		s.inFlight.Add(-1)
 		s.log.RequestEvent("Collect request refused.", "request", d.Request.ID, "running", inFlight, "limit", maxInFlight)
 		return collectReply{}, samphirepass.Refuse(samphirepass.CodeOverloaded, "%d requests are being collected", inFlight)
 	}
 	// The times of the delivery count from its sending.
 	transit := peer.Age(ctx)
 	d = withElapsed(d, transit)
-	ctx, cancel := context.WithTimeout(ctx, d.Request.DeadlineMs.Duration())
-	defer cancel()
-	result := s.deliverer.Deliver(ctx, d)
-	reply := collectReply{
-		Answered: result.Answered, Known: result.KnownShards, RequiredShards: result.RequiredShards, Extra: result.Extra, Attempts: result.Attempts,
-		MaybeRun: result.MaybeRun, LastLeaf: result.LastLeaf, DegradedShards: result.DegradedShards, Skipped: result.Skipped,
-	}
-	if result.LastErr != nil {
-		reply.LastError = result.LastErr.Error()
+	// The delivery outlives this call if the answers so far are returned.
+	deliverCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.Request.DeadlineMs.Duration())
+	callEnded := context.AfterFunc(ctx, cancel)
+	partial := make(chan collectReply, 1)
+	if d.DueShards > d.MinShards {
+		d.OnPartial = func(result leaf.DeliveryResult) { partial <- newCollectReply(d, result) }
 	}
-	if result.Answered > 0 && result.Answered >= result.RequiredShards {
-		reply.Merged = gateway.MergeReplies(d, result)
+	done := make(chan collectReply, 1)
+	go func() {
+		defer s.inFlight.Add(-1)
+		defer cancel()
+		done <- s.deliver(deliverCtx, d, transit, inFlight)
+	}()
+	select {
+	case reply := <-done:
+		callEnded()
+		return reply, nil
+	case reply := <-partial:
+		if callEnded() {
+			reply.Unfinished = s.addUnfinished(done, cancel)
+		}
+		return reply, nil
 	}
+}
+
+// deliver sends a request to its leaves and records how that went. A panic fails only this request.
+func (s *Server) deliver(ctx context.Context, d leaf.Delivery, transit samphirepass.Millis, inFlight int64) (reply collectReply) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			s.log.Errorf("Delivery of request %s panicked: %v.", d.Request.ID, reason)
+			reply = collectReply{RequiredShards: d.RequiredShards(), MaybeRun: true, LastError: fmt.Sprintf("delivery panicked: %v", reason)}
+		}
+	}()
+	result := s.deliverer.Deliver(ctx, d)
+	reply = newCollectReply(d, result)
 	s.observeStages(transit, result.Timing)
 	s.log.RequestEvent("Request collected.", "request", d.Request.ID, "route", d.Route.Name, "shards", len(d.Shards),
 		"answered", result.Answered, "attempts", result.Attempts, "extra", result.Extra, "skipped", result.Skipped, "far", result.CrossCentreAttempts, "poor", len(result.DegradedShards), "last-leaf", result.LastLeaf, "last-error", reply.LastError,
 		"running", inFlight, "transit-ms", int(transit), "start-ms", int(result.Timing.StartMs), "send-wait-ms", int(result.Timing.SendWaitMs),
 		"leaf-ms", int(result.Timing.LeafMs), "handle-wait-ms", int(result.Timing.HandleWaitMs), "timer-late-ms", int(result.Timing.TimerLateMs))
-	return reply, nil
+	return reply
+}
+
+// addUnfinished keeps a delivery for restTimeoutMs and returns its number.
+func (s *Server) addUnfinished(done <-chan collectReply, cancel context.CancelFunc) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastUnfinished++
+	n := s.lastUnfinished
+	s.unfinished[n] = &unfinishedDelivery{done: done, cancel: cancel, expiry: time.AfterFunc(restTimeoutMs.Duration(), func() {
+		if u := s.takeUnfinished(n); u != nil {
+			u.cancel()
+		}
+	})}
+	return n
+}
+
+// takeUnfinished removes a delivery and returns it, nil if there is none with this number.
+func (s *Server) takeUnfinished(n uint64) *unfinishedDelivery {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.unfinished[n]
+	delete(s.unfinished, n)
+	return u
+}
+
+// collectRest returns the complete result of a delivery whose answers so far were returned.
+func (s *Server) collectRest(ctx context.Context, req collectRestRequest) (collectReply, error) {
+	u := s.takeUnfinished(req.Unfinished)
+	if u == nil {
+		return collectReply{}, samphirepass.Refuse(samphirepass.CodeNotFound, "no delivery %d is unfinished", req.Unfinished)
+	}
+	u.expiry.Stop()
+	select {
+	case reply := <-u.done:
+		return reply, nil
+	case <-ctx.Done():
+		u.cancel()
+		return collectReply{}, fmt.Errorf("wait for the rest of delivery %d: %w", req.Unfinished, ctx.Err())
+	}
 }
 
 // observeStages records where the time of a request went.
--- a/collector/split.go
+++ b/collector/split.go
@@ -14,12 +14,12 @@
 
 // connect opens the connections to the collectors that a request over all shards would use.
 func (c *Client) connect() {
-	offers := c.usableOffers()
 	var shards []samphirepass.Service
 	if c.opts.Shards != nil {
 		shards = c.opts.Shards()
 	}
-	c.connectTo(policy.SplitShards(c.shardDataCentres(shards), c.opts.DataCentre, offerDataCentres(offers)), offers)
+	offers := c.usableOffers(len(shards))
+	c.connectTo(policy.SplitShards(c.shardDataCentres(shards), c.opts.DataCentre, c.offerDataCentres(offers)), offers)
 }
 
 // connectTo opens the connections to the collectors in this entry's own data centre and in those of the parts.
@@ -42,7 +42,7 @@
 		}
 	}
 	c.mu.Unlock()
-	all, usable := offerDataCentres(offers), offerDataCentres(usableOffers)
+	all, usable := c.offerDataCentres(offers), c.offerDataCentres(usableOffers)
 	for range maxSplits {
 		parts := policy.SplitShards(dataCentres, c.opts.DataCentre, all)
 		isUnusable := func(dataCentre samphirepass.DataCentre) bool {
@@ -58,27 +58,63 @@
 	return policy.SplitShards(dataCentres, c.opts.DataCentre, usable)
 }
 
-// usableOffers returns the collectors that this entry may use: those in its own data centre that are much larger than itself, and
-// those in other data centres. They are ordered by a hash of the VM and their address, so that the entries spread over the collectors.
-func (c *Client) usableOffers() []directory.CollectorOffer {
-	all := c.opts.Offers()
+// offerSnapshot is what this entry knew of the collectors at one time.
+type offerSnapshot struct {
+	takenAt samphirepass.Millis
+	// offers are ordered by a hash of the VM and their address, so that the entries spread over the collectors.
+	offers []directory.CollectorOffer
+	// own holds the collectors in this entry's own data centre, this entry among them if it collects.
+	own []directory.CollectorOffer
+	// dataCentres is the number of data centres with collectors.
+	dataCentres int
+}
+
+// offerSnapshot returns the collectors as of offersTTLMs ago or later.
+func (c *Client) offerSnapshot() *offerSnapshot {
+	now := c.opts.Clock.Now()
+	if s := c.snapshot.Load(); s != nil && now-s.takenAt < offersTTLMs {
+		return s
+	}
+	s := &offerSnapshot{takenAt: now, offers: c.opts.Offers()}
 	hash := func(offer directory.CollectorOffer) uint64 {
 		return xxhash.Sum64String(string(c.opts.VM) + "/" + offer.Address)
 	}
-	slices.SortFunc(all, func(a, b directory.CollectorOffer) int { return cmp.Compare(hash(a), hash(b)) })
-	return slices.DeleteFunc(all, func(offer directory.CollectorOffer) bool {
-		return offer.DataCentre == c.opts.DataCentre && !offer.Capacity.SuitsOffloadFrom(c.opts.Capacity)
-	})
+	slices.SortFunc(s.offers, func(a, b directory.CollectorOffer) int { return cmp.Compare(hash(a), hash(b)) })
+	s.own = c.collectorsIn(c.opts.DataCentre, s.offers)
+	s.dataCentres = len(c.offerDataCentres(append(slices.Clone(s.own), s.offers...)))
+	c.snapshot.Store(s)
+	return s
+}
+
+// usableOffers returns the collectors that this entry may use for a request to n shards: those in other data centres, and those in its
+// own if they are much larger than itself or several of them share the request.
+func (c *Client) usableOffers(n int) []directory.CollectorOffer {
+	s := c.offerSnapshot()
+	if policy.SpreadWidth(n, len(s.own)) > 1 {
+		return s.offers
+	}
+	var usable []directory.CollectorOffer
+	for _, offer := range s.offers {
+		if offer.DataCentre != c.opts.DataCentre || offer.Capacity.SuitsOffloadFrom(c.opts.Capacity) {
+			usable = append(usable, offer)
+		}
+	}
+	return usable
 }
 
-// offerDataCentres returns the distinct data centres of the offers.
-func offerDataCentres(offers []directory.CollectorOffer) []samphirepass.DataCentre {
+// offerDataCentres returns the distinct data centres of the offers. Their order differs between VMs, so that the entries spread over
+// them, and is the same for all requests, so that each entry keeps few connections.
+func (c *Client) offerDataCentres(offers []directory.CollectorOffer) []samphirepass.DataCentre {
 	var dataCentres []samphirepass.DataCentre
 	for _, offer := range offers {
 		if !slices.Contains(dataCentres, offer.DataCentre) {
 			dataCentres = append(dataCentres, offer.DataCentre)
 		}
 	}
+	hash := func(dataCentre samphirepass.DataCentre) uint64 {
+		return xxhash.Sum64String(string(c.opts.VM) + "/" + string(dataCentre))
+	}
+	slices.SortFunc(dataCentres, func(a, b samphirepass.DataCentre) int { return cmp.Compare(hash(a), hash(b)) })
 	return dataCentres
 }
 
--- a/collector/spread_test.go
+++ b/collector/spread_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -73,3 +74,52 @@
 	}
 	require.ElementsMatch(t, d.Shards, collected, "each shard is collected once")
 }
+
+// TestProofPartsShareWhatMayBeMissing guards against a request that is late, though it lacks no more shards than it may, because one part
+// lacks more than its share.
+func TestProofPartsShareWhatMayBeMissing(t *testing.T) {
+	tests := map[string]struct {
+		// late are the shards that one collector lacks at the time of the partial answer.
+		late, answered int
+		within         time.Duration
+	}{
+		"as many as may be missing": {9, 81, 300 * time.Millisecond},
+		"one more":                  {10, 90, 2 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			collectors := []*testCollector{startCollector(t, 0), startCollector(t, 0), startCollector(t, 0)}
+			collectors[0].deliverer.late, collectors[0].deliverer.lateBy = tt.late, 500*time.Millisecond
+			d := largeDelivery(90)
+			c, _ := startEntryForSpread(t, d, collectors)
+			began := time.Now()
+			result := c.Deliver(t.Context(), d)
+			require.Less(t, time.Since(began), tt.within)
+			require.Equal(t, tt.answered, result.Answered)
+			require.Len(t, result.Merged.Signatures, tt.answered)
+			require.Equal(t, 90-tt.answered, result.Merged.Missing)
+		})
+	}
+}
+
+// TestUnfinishedDeliveryEndsWithoutItsEntry has an entry not ask for the rest of a delivery: the collector must not go on with it.
+func TestUnfinishedDeliveryEndsWithoutItsEntry(t *testing.T) {
+	collectors := []*testCollector{startCollector(t, 0), startCollector(t, 0), startCollector(t, 0)}
+	collectors[0].deliverer.late, collectors[0].deliverer.lateBy = 9, time.Minute
+	d := largeDelivery(90)
+	c, _ := startEntryForSpread(t, d, collectors)
+	require.Equal(t, 81, c.Deliver(t.Context(), d).Answered)
+	require.Eventually(t, func() bool { return collectors[0].deliverer.cancelled.Load() == 1 }, time.Second, 5*time.Millisecond)
+}
+
+// TestLostCollectorLosesOnlyItsShards cuts off one collector, which has fewer shards than the request may lack, after it has read its part.
+func TestLostCollectorLosesOnlyItsShards(t *testing.T) {
+	collectors := []*testCollector{startCollector(t, 0), startCollector(t, 0), startCollector(t, time.Minute)}
+	d := largeDelivery(90)
+	d.Route.MinShardShare = 0.5
+	c, _ := startEntryForSpread(t, d, collectors)
+	began := time.Now()
+	result := c.Deliver(t.Context(), d)
+	require.Less(t, time.Since(began), 300*time.Millisecond, "the answers of the others are enough")
+	require.Equal(t, 90-len(collectors[2].deliverer.calls()[0].Shards), result.Answered)
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -91,7 +91,7 @@
 	g.collectorServer = collector.NewServer(g.deliverer, g.stopping.Load, g.metrics, log.For("collector"))
 	g.collectorClient = collector.NewClient(collector.Options{
 		VM: cfg.VM, Local: g.deliverer, Registry: g.registry, Peers: g.peers, Offers: g.follower.Offers, Shards: g.shards, DataCentre: cfg.DataCentre,
-		Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
+		Address: cfg.CollectAddress(), Collecting: g.follower.IsCollector, Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
 	})
 	g.dispatcher = gateway.NewDispatcher(gateway.Options{Deliverer: g.collectorClient, Metrics: g.metrics, Clock: clock, Log: log.For("gateway")})
 	return g, g.listen()
@@ -159,7 +159,7 @@
 func (g *Gateway) shards() []samphirepass.Service { return g.dispatcher.Shards() }
 
 // slackShare returns the fraction of the retry budget's slack that this gateway may use for a service. All gateways share it evenly,
-// except for shards, where collectors share most of it, as they send nearly all requests. The directory calls gateways entries.
+// except for shards, where the collectors that get the requests share most of it. The directory calls gateways entries.
 func (g *Gateway) slackShare(s samphirepass.Service) float64 {
 	entries, collectors := g.follower.EntryCount(), g.follower.CollectorCount()
 	if entries == 0 {
@@ -168,12 +168,21 @@
 	if collectors == 0 || !g.isShard(s) {
 		return 1 / float64(entries)
 	}
-	if g.follower.IsCollector() {
-		return collectorSlackFraction / float64(collectors)
+	if use := g.shardUse(s, collectors); use.Own {
+		return collectorSlackFraction / float64(use.Prepared)
 	}
 	return (1 - collectorSlackFraction) / float64(entries)
 }
 
+// shardUse returns how many of the collectors send requests to the leaves of a shard, and whether this gateway is one of them.
+func (g *Gateway) shardUse(s samphirepass.Service, collectors int) collector.ShardUse {
+	use, ok := g.collectorClient.ShardUse(s, g.dispatcher.MaxShards())
+	if !ok {
+		return collector.ShardUse{Active: collectors, Prepared: collectors, Own: g.follower.IsCollector()}
+	}
+	return use
+}
+
 // isReady reports whether the balancer should send new connections here.
 func (g *Gateway) isReady() bool {
 	if g.stopping.Load() {
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -47,9 +47,9 @@
 	holders := max(s.g.follower.EntryCount(), 1)
 	perEntry, minSize := shared/float64(holders), minLeaves
 	if collectors := s.g.follower.CollectorCount(); collectors > 0 && s.g.isShard(a.Service) {
-		if s.g.follower.IsCollector() {
-			holders = collectors
-			perEntry = shared * collectorConnectionFraction / float64(collectors)
+		if use := s.g.shardUse(a.Service, collectors); use.Own {
+			holders = use.Active
+			perEntry = shared * collectorConnectionFraction / float64(use.Prepared)
 		} else {
 			perEntry, minSize = perEntry*(1-collectorConnectionFraction), minLeavesWithCollectors
 		}
@@ -68,7 +68,7 @@
 		return false
 	}
 	if s.g.follower.IsCollector() {
-		return true
+		return s.g.shardUse(a.Service, s.g.follower.CollectorCount()).Own
 	}
 	return s.g.follower.CollectorCount() == 0 && s.g.clock.Now()-s.g.startedAt > offerDiscoveryMs
 }
--- a/directory/offers.go
+++ b/directory/offers.go
@@ -9,8 +9,11 @@
 	"samphirepass"
 )
 
-// directOffers returns the offers of the entries that follow this source and are much larger than the smallest of them.
-// No entry would use the others.
+// entriesPerCollector is the number of entries of a data centre for each collector there. With fewer collectors their processors limit
+// the requests over many shards, with more of them each has to keep connections to more leaves and entries.
+const entriesPerCollector = 6
+
+// directOffers returns the offers of the collectors among the entries that follow this source.
 func (s *Source) directOffers() []CollectorOffer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -19,12 +22,14 @@
 
 func (s *Source) directOffersLocked() []CollectorOffer {
 	now := s.opts.Clock.Now()
+	entries := map[samphirepass.DataCentre]int{}
 	var smallest samphirepass.Capacity
 	var offers []CollectorOffer
 	for _, f := range s.followers {
 		if f.endpoint.Address != "" || now-f.lastSeen >= followerTTLMs {
 			continue
 		}
+		entries[f.endpoint.DataCentre]++
 		if smallest == (samphirepass.Capacity{}) || f.capacity.Cores < smallest.Cores {
 			smallest = f.capacity
 		}
@@ -32,7 +37,24 @@
 			offers = append(offers, CollectorOffer{Address: f.collectAddress, DataCentre: f.endpoint.DataCentre, Capacity: f.capacity})
 		}
 	}
-	return slices.DeleteFunc(offers, func(offer CollectorOffer) bool { return !offer.Capacity.SuitsOffloadFrom(smallest) })
+	return selectCollectors(offers, entries, smallest)
+}
+
+// selectCollectors returns the offers of the entries that are much larger than the smallest one and, in each data centre, of so many others
+// that there is one for each entriesPerCollector entries. Sources with the same followers select the same ones.
+func selectCollectors(offers []CollectorOffer, entries map[samphirepass.DataCentre]int, smallest samphirepass.Capacity) []CollectorOffer {
+	slices.SortFunc(offers, func(a, b CollectorOffer) int {
+		return cmp.Or(cmp.Compare(b.Capacity.Cores, a.Capacity.Cores), cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)))
+	})
+	selected := map[samphirepass.DataCentre]int{}
+	return slices.DeleteFunc(offers, func(offer CollectorOffer) bool {
+		enough := selected[offer.DataCentre] >= entries[offer.DataCentre]/entriesPerCollector
+		if enough && !offer.Capacity.SuitsOffloadFrom(smallest) {
+			return true
+		}
+		selected[offer.DataCentre]++
+		return false
+	})
 }
 
 // allOffers returns the direct offers and those that other sources reported, one for each address, sorted by address.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -108,6 +108,15 @@
 	return slices.Collect(maps.Keys(r.shards))
 }
 
+// MaxShards returns the largest number of shards of a route in the current document.
+func (d *Dispatcher) MaxShards() int {
+	r := d.router.Load()
+	if r == nil {
+		return 0
+	}
+	return r.maxShards
+}
+
 // ClientLimits returns the limits on clients' requests of the current document, or the zero value if there is none.
 func (d *Dispatcher) ClientLimits() samphirepass.ClientLimits {
 	routing, _ := d.Routing()
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -19,6 +19,8 @@
 	balancers map[samphirepass.RouteName]*weightedRoundRobin
 	// shards is the set of services that are a shard of some route.
 	shards map[samphirepass.Service]bool
+	// maxShards is the largest number of shards of a route.
+	maxShards int
 }
 
 // NewRouter returns a router for a valid document.
@@ -27,6 +29,7 @@
 	for _, route := range routing.Routes {
 		host := strings.ToLower(route.Host)
 		r.hosts[host] = append(r.hosts[host], route)
+		r.maxShards = max(r.maxShards, len(route.ShardServices))
 		for _, shard := range route.ShardServices {
 			r.shards[shard] = true
 		}
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -39,6 +39,10 @@
 	GraceMs samphirepass.Millis
 	// MinShards is the least number of shards for an answer; 0 means that the route's MinShardShare decides.
 	MinShards int
+	// DueShards is the number of shards with which the answer is returned at PartialAfterMs; 0 means MinShards.
+	DueShards int
+	// OnPartial is called once with the answers so far if they are fewer than DueShards at PartialAfterMs; it may be nil.
+	OnPartial func(DeliveryResult) `codec:"-"`
 }
 
 // RequiredShards returns the least number of shards for an answer.
@@ -52,6 +56,9 @@
 	return max(int(math.Ceil(d.Route.MinShardShare*float64(len(d.Shards))-roundingTolerance)), 1)
 }
 
+// dueShards returns the number of shards with which the answer is returned at PartialAfterMs.
+func (d Delivery) dueShards() int { return max(d.DueShards, d.RequiredShards()) }
+
 // DeliveryResult holds the replies to a Delivery and how it went.
 type DeliveryResult struct {
 	// Replies has one element for each shard, nil for a shard that did not answer.
@@ -196,11 +203,11 @@
 	opts := fanOutOptions{
 		hedger: state.hedger, budgets: make([]samphirepass.Budget, len(delivery.Shards)),
 		maxAttempts: max(delivery.Route.MaxAttempts, 1), atMostOnce: delivery.Route.Kind == samphirepass.AtMostOnce,
-		partialAfter: delivery.PartialAfterMs, grace: delivery.GraceMs, requiredShards: delivery.RequiredShards(),
+		partialAfter: delivery.PartialAfterMs, grace: delivery.GraceMs, requiredShards: delivery.RequiredShards(), dueShards: delivery.dueShards(),
 		cancelDelay: cancelDelayMs, endedCancelDelay: endedCancelDelayMs,
 	}
 	opts.expected = expectedLatency(opts.hedger, delivery.Route)
-	result := DeliveryResult{RequiredShards: opts.requiredShards, Replies: make([]*samphirepass.Reply, len(delivery.Shards))}
+	result := DeliveryResult{RequiredShards: opts.requiredShards}
 	for i, s := range delivery.Shards {
 		opts.budgets[i] = d.budgets(s)
 		leaves[i] = d.eligible(s)
@@ -209,7 +216,7 @@
 		}
 	}
 	if delivery.PartialAfterMs > 0 {
-		opts.skip = state.skipper.Select(delivery.Shards, result.KnownShards-opts.requiredShards)
+		opts.skip = state.skipper.Select(delivery.Shards, result.KnownShards-opts.dueShards)
 	}
 	opts.newAttempt = func(shard int) samphirepass.Attempt {
 		return samphirepass.Attempt{
@@ -219,19 +226,29 @@
 		}
 	}
 	f := newFanOut(ctx, d.fanOutDeps, opts, leaves, began)
+	if delivery.OnPartial != nil {
+		f.onPartial = func() { delivery.OnPartial(f.deliveryResult(delivery, result)) }
+	}
 	f.run()
+	if delivery.PartialAfterMs > 0 {
+		f.recordPunctuality(state.skipper, delivery.Shards)
+	}
+	return f.deliveryResult(delivery, result)
+}
+
+// deliveryResult returns result, which holds what was known before the first attempt, with the answers so far.
+func (f *fanOut) deliveryResult(delivery Delivery, result DeliveryResult) DeliveryResult {
+	result.Replies = make([]*samphirepass.Reply, len(f.shards))
 	for i := range f.shards {
 		s := &f.shards[i]
 		if s.answered {
-			result.Replies[i] = &s.reply
+			reply := s.reply
+			result.Replies[i] = &reply
 		}
 		if s.skipped {
 			result.Skipped++
 		}
 	}
-	if delivery.PartialAfterMs > 0 {
-		f.recordPunctuality(state.skipper, delivery.Shards)
-	}
 	result.LastErr, result.LastLeaf = f.lastErr, f.lastLeaf
 	result.Answered, result.Failure, result.MaybeRun = f.answeredShards, f.failure, f.maybeRun || f.mayStillRun
 	result.Timing = f.times.result()
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -93,6 +93,10 @@
 	skip []int
 	// requiredShards is the least number of shards for an answer, 0 for any number.
 	requiredShards int
+	// dueShards is the number of shards with which the answer is returned at partialAfter, at least requiredShards.
+	dueShards int
+	// onPartial is called once if fewer than dueShards have answered at partialAfter; it may be nil.
+	onPartial func()
 	// cancelDelay is how long attempts that are no longer needed may still run, so that their connections can be reused;
 	// 0 cancels them at once.
 	cancelDelay samphirepass.Millis
@@ -249,10 +253,13 @@
 	if f.partialAfter == 0 || elapsed < f.partialAfter {
 		return false
 	}
-	enough := f.answeredShards > 0 && f.answeredShards >= f.requiredShards
+	enough := f.answeredShards > 0 && f.answeredShards >= f.dueShards
 	if !f.late && enough {
 		return true
 	}
+	if !f.late && f.onPartial != nil {
+		f.onPartial()
+	}
 	// The answer is late already, so it waits for the other shards until the grace time is over.
 	f.late = true
 	return enough && elapsed >= f.partialAfter+f.grace
@@ -261,7 +268,7 @@
 // canSucceed reports whether the required number of shards can still be reached. If others have failed, it starts skipped ones.
 func (f *fanOut) canSucceed() bool {
 	for i := range f.shards {
-		if f.answeredShards+f.openShards >= f.requiredShards {
+		if f.answeredShards+f.openShards >= f.dueShards {
 			return true
 		}
 		if s := &f.shards[i]; s.skipped {
--- a/policy/collect.go
+++ b/policy/collect.go
@@ -52,7 +52,8 @@
 // SplitShards splits a request's shards by the data centre in which they are collected, so that few answers of leaves cross
 // between data centres: shards with a leaf in the entry's own data centre are collected there, the others in the data centre
 // that has leaves of most of them, and so on.
-// dataCentres holds the data centres of each shard's leaves, offered the data centres that have collectors.
+// dataCentres holds the data centres of each shard's leaves, offered the data centres that have collectors; of equal ones the first is
+// used.
 func SplitShards(dataCentres [][]samphirepass.DataCentre, own samphirepass.DataCentre, offered []samphirepass.DataCentre) []samphirepass.ShardPart {
 	remaining := make([]int, len(dataCentres))
 	for i := range remaining {
@@ -83,8 +84,7 @@
 					n++
 				}
 			}
-			// Ties are broken at random, so that the collectors share the load.
-			if n > most || (n == most && n > 0 && rand.IntN(2) == 0) {
+			if n > most {
 				best, most = dataCentre, n
 			}
 		}
