leaf, directory, policy: Keep all gateways together below the limit that a leaf names

Callers saw nothing; leaves in need got twice the requests that they had named. Change: the sender passes on what an answer says; the limit travels with the leaf's announcement through the registrars to all processes, and each gateway keeps to its share of it, with all attempts. A request for which too few leaves are left is refused at once, with the time until one takes a request.

--- a/client.go
+++ b/client.go
@@ -66,6 +66,8 @@
 	Request(ctx context.Context, to Announcement, a Attempt, remaining Millis) (*http.Request, error)
 	// Reply checks the complete answer to an attempt; its errors are of type *AttemptError.
 	Reply(resp *http.Response, body []byte, a Attempt) (Reply, error)
+	// Notice returns what the leaf that answered says of itself.
+	Notice(resp *http.Response) LeafNotice
 	// Probe returns a request that is answered on any live connection to the leaf, or nil if the protocol has no cheap one.
 	Probe(ctx context.Context, address string) (*http.Request, error)
 }
--- a/collector/messages.go
+++ b/collector/messages.go
@@ -28,6 +28,8 @@
 	Skipped        int
 	// Unfinished identifies the delivery if the collector still waits for leaves, for a collectRestRequest; otherwise it is 0.
 	Unfinished uint64
+	// RetryAfterMs is that of leaf.DeliveryResult.
+	RetryAfterMs samphirepass.Millis
 }
 
 // collectRestRequest asks for the complete result of a delivery of which the answers so far were returned.
@@ -40,6 +42,7 @@
 	reply := collectReply{
 		Answered: result.Answered, Known: result.KnownShards, RequiredShards: result.RequiredShards, Extra: result.Extra, Attempts: result.Attempts,
 		MaybeRun: result.MaybeRun, LastLeaf: result.LastLeaf, DegradedShards: result.DegradedShards, Skipped: result.Skipped,
+		RetryAfterMs: result.RetryAfterMs,
 	}
 	if result.LastErr != nil {
 		reply.LastError = result.LastErr.Error()
@@ -55,6 +58,7 @@
 	result := leaf.DeliveryResult{
 		Merged: r.Merged, Answered: r.Answered, KnownShards: r.Known, RequiredShards: r.RequiredShards, Extra: r.Extra,
 		Attempts: r.Attempts, MaybeRun: r.MaybeRun, LastLeaf: r.LastLeaf, DegradedShards: r.DegradedShards, Skipped: r.Skipped,
+		RetryAfterMs: r.RetryAfterMs,
 	}
 	if r.LastError != "" {
 		result.LastErr = eris.New(r.LastError)
--- a/collector/spread.go
+++ b/collector/spread.go
@@ -232,6 +232,7 @@
 		combined.Skipped += r.Skipped
 		combined.Attempts += r.Attempts
 		combined.CrossCentreAttempts += r.CrossCentreAttempts
+		combined.RetryAfterMs = max(combined.RetryAfterMs, r.RetryAfterMs)
 		combined.HalfAnsweredMs = max(combined.HalfAnsweredMs, r.HalfAnsweredMs)
 		combined.Shed = combined.Shed || r.Shed
 		if r.LastErr != nil {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -101,6 +101,9 @@
 	return leaf.Share(a, seat.Number, cfg.SeatCount)
 }
 
+// Senders returns the number of entries.
+func (s seatShares) Senders(samphirepass.Announcement) int { return s.board.Config.Value().SeatCount }
+
 // Version returns the version of the configuration.
 func (s seatShares) Version() uint64 {
 	_, version := s.board.Config.Get()
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -84,8 +84,10 @@
 		VM: cfg.VM, DataCentre: cfg.DataCentre, Seeds: cfg.SeedPeers(), Registry: g.registry, Peers: g.peers,
 		Clock: clock, OnRouting: g.applyRouting, Capacity: cfg.Capacity(), CollectAddress: cfg.CollectAddress(), Logf: log.For("directory").Infof,
 	})
+	sender := leaf.NewSender(g.pool, platform.LeafProtocol{}, clock)
+	sender.OnNotice = g.follower.HandleNotice
 	g.deliverer = leaf.NewDeliverer(leaf.DelivererOptions{
-		Registry: g.registry, Pool: g.pool, Sender: leaf.NewSender(g.pool, platform.LeafProtocol{}, clock), DataCentre: cfg.DataCentre,
+		Registry: g.registry, Pool: g.pool, Sender: sender, DataCentre: cfg.DataCentre,
 		Chooser: policy.LeastCostChooser{}, Clock: clock, Budget: g.retryBudget, ExtraPercent: extraPercent,
 	})
 	g.collectorServer = collector.NewServer(g.deliverer, g.stopping.Load, g.metrics, log.For("collector"))
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -60,6 +60,16 @@
 	return max(min(int(perEntry), maxConnectionsPerSlot*a.Slots/holders), 1)
 }
 
+// Senders returns the number of gateways that share the requests to a leaf: the collectors that usually get them, or all.
+func (s routingShares) Senders(a samphirepass.Announcement) int {
+	if collectors := s.g.follower.CollectorCount(); collectors > 0 && s.g.isShard(a.Service) {
+		if use := s.g.shardUse(a.Service, collectors); use.Own {
+			return use.Active
+		}
+	}
+	return s.g.follower.EntryCount()
+}
+
 // wantsPreconnect reports whether to open a connection to a leaf before a request needs it. That is worth it only for shards, of which
 // a request needs many at once, and not if collectors ask the leaves for this gateway. Whether they do is unknown until
 // offerDiscoveryMs after the start.
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -125,11 +125,13 @@
 	isCollector     bool
 
 	routingMu sync.Mutex
+
+	reports chan leafReport
 }
 
 // NewFollower returns a follower that knows only the seeds.
 func NewFollower(opts FollowerOptions) *Follower {
-	f := &Follower{opts: opts, sources: map[string]*sourceState{}}
+	f := &Follower{opts: opts, sources: map[string]*sourceState{}, reports: make(chan leafReport, maxWaitingReports)}
 	for _, seed := range opts.Seeds {
 		if seed != opts.ControlAddress {
 			f.sources[seed] = &sourceState{seed: true, failedAt: opts.Clock.Now() - sourceCooldownMs}
@@ -145,6 +147,7 @@
 		for range sourcesPerEntry {
 			wg.Go(func() { f.followOne(ctx) })
 		}
+		wg.Go(func() { f.sendReports(ctx) })
 	} else {
 		wg.Go(func() { f.followAll(ctx) })
 	}
@@ -321,7 +324,7 @@
 // applyReply applies a reply and reports whether the source is stale while there is an alternative.
 func (f *Follower) applyReply(address string, reply followReply) bool {
 	for _, a := range reply.Leaves {
-		f.opts.Registry.Apply(a.Announcement, a.AgeMs, false)
+		f.opts.Registry.ApplyAged(a)
 	}
 	for _, h := range reply.Heartbeats {
 		f.opts.Registry.ApplyHeartbeat(h)
--- a/directory/source.go
+++ b/directory/source.go
@@ -104,6 +104,7 @@
 // Register adds the handler for polls of followers to h.
 func (s *Source) Register(h *peer.Handlers) {
 	peer.HandleCall(h, kindFollow, s.follow)
+	peer.HandleCall(h, kindReport, s.applyReports)
 }
 
 // follow replies once there are changes that the follower does not have, or the time for which it waits is over.
--- a/entry/peersyncer.go
+++ b/entry/peersyncer.go
@@ -140,7 +140,7 @@
 		return
 	}
 	for _, a := range reply.Announcements {
-		p.registry.Apply(a.Announcement, a.AgeMs, false)
+		p.registry.ApplyAged(a)
 	}
 	p.mu.Lock()
 	p.exchanged = true
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -223,7 +223,7 @@
 	}
 	switch {
 	case !result.MaybeRun && result.Answered == 0:
-		return samphirepass.ClientAnswer{}, withRetryAfter(retryAfterRefusedMs, samphirepass.Refuse(samphirepass.CodeOverloaded, "every leaf that was asked refused the request"))
+		return samphirepass.ClientAnswer{}, withRetryAfter(max(result.RetryAfterMs, retryAfterRefusedMs), samphirepass.Refuse(samphirepass.CodeOverloaded, "every leaf that was asked refused the request"))
 	case ctx.Err() != nil:
 		refusal := samphirepass.RefuseUnknown("%d of %d shards answered in time", result.Answered, len(delivery.Shards))
 		refusal.Code = samphirepass.CodeDeadline
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -18,7 +18,10 @@
 	if len(leaves) == 0 || s.countedAttempts >= f.fanOutOptions.maxAttempts || len(s.tried) >= f.fanOutOptions.maxAttempts+maxFreeRetries {
 		return false
 	}
-	reg := leaves[f.choose(leaves, f.expected)]
+	reg, ok := f.reserveLeaf(leaves)
+	if !ok {
+		return false
+	}
 	s.tried = append(s.tried, reg.Leaf)
 	s.countedAttempts++
 	s.inFlight++
@@ -200,7 +203,7 @@
 // startExtraAttempt starts another attempt if takeBudget grants one. A nil takeBudget means that the attempt replaces one
 // that caused no load: it needs no budget and does not count as extra.
 func (f *fanOut) startExtraAttempt(shard int, takeBudget func() bool) bool {
-	if len(f.untriedLeaves(shard)) == 0 || (takeBudget != nil && !takeBudget()) {
+	if leaves := f.untriedLeaves(shard); len(leaves) == 0 || f.pool.minWaitMs(leaves) > 0 || (takeBudget != nil && !takeBudget()) {
 		return false
 	}
 	if !f.startAttempt(shard) {
--- a/leaf/changes.go
+++ b/leaf/changes.go
@@ -20,7 +20,7 @@
 	var changes []AgedAnnouncement
 	for _, reg := range r.leaves {
 		if reg.changedVersion > version {
-			changes = append(changes, AgedAnnouncement{Announcement: reg.Announcement, AgeMs: now - reg.LastSeenMs})
+			changes = append(changes, reg.aged(now))
 		}
 	}
 	return changes, r.version
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -90,6 +90,8 @@
 	HalfAnsweredMs samphirepass.Millis
 	// Shed is set if shards are missing and leaves refused work or the deadline passed.
 	Shed bool
+	// RetryAfterMs is the time until a leaf takes a request, if the request was not sent because too few leaves do now.
+	RetryAfterMs samphirepass.Millis
 	// Timing says where the time went.
 	Timing Timing
 }
@@ -252,6 +254,7 @@
 	result.LastErr, result.LastLeaf = f.lastErr, f.lastLeaf
 	result.Answered, result.Failure, result.MaybeRun = f.answeredShards, f.failure, f.maybeRun || f.mayStillRun
 	result.Timing = f.times.result()
+	result.RetryAfterMs = f.retryAfter
 	result.CrossCentreAttempts = f.crossCentreAttempts
 	if delivery.Route.IsScatterGather() {
 		result.DegradedShards = f.degradedShards()
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"samphirepass"
 )
 
@@ -19,6 +21,9 @@
 	ownDelayShardShare = 0.25
 )
 
+// errLimited means that no leaf of a shard takes another request now.
+var errLimited = eris.New("every leaf has reached the limit that it named")
+
 // attemptResult is the outcome of one attempt.
 type attemptResult struct {
 	shard  int
@@ -138,7 +143,9 @@
 	// lastErr is the error of the most recent failed attempt, lastLeaf the leaf that it was sent to.
 	lastErr  error
 	lastLeaf samphirepass.Leaf
-	times    timingRecorder
+	// retryAfter is the time until a leaf takes a request, if too few do now.
+	retryAfter samphirepass.Millis
+	times      timingRecorder
 	// failure is the last reply of a leaf that ran an attempt and reported a failure.
 	failure *samphirepass.Reply
 }
@@ -159,14 +166,17 @@
 	defer f.withdrawUnsent()
 	f.timer = time.NewTimer(time.Hour)
 	defer f.timer.Stop()
+	if !f.checkLimits() {
+		f.lastErr = errLimited
+		return
+	}
 	f.recordPrimaries()
 	for _, i := range f.skip {
 		f.shards[i].skipped = len(f.leaves[i]) > 0
 	}
 	for i := range f.shards {
 		if len(f.leaves[i]) > 0 && !f.shards[i].skipped {
-			f.openShards++
-			f.startAttempt(i)
+			f.openFirst(i)
 		} else {
 			f.shards[i].closed = true
 		}
@@ -191,6 +201,16 @@
 	}
 }
 
+// openFirst starts the first attempt on a shard. If no leaf takes one, the shard is closed.
+func (f *fanOut) openFirst(shard int) {
+	if f.startAttempt(shard) {
+		f.openShards++
+		return
+	}
+	f.lastErr = errLimited
+	f.shards[shard].closed = true
+}
+
 // recordPrimaries records the first attempt of each shard, with one call for a sequence of shards that share a budget.
 func (f *fanOut) recordPrimaries() {
 	for i := 0; i < len(f.budgets); {
@@ -273,8 +293,7 @@
 		}
 		if s := &f.shards[i]; s.skipped {
 			s.skipped, s.closed = false, false
-			f.openShards++
-			f.startAttempt(i)
+			f.openFirst(i)
 			f.resetTimer()
 		}
 	}
--- a/leaf/native.go
+++ b/leaf/native.go
@@ -93,6 +93,9 @@
 	return strconv.FormatUint(xxhash.Sum64(body), 16)
 }
 
+// Notice returns nothing, as the protocol has no notices.
+func (Native) Notice(*http.Response) samphirepass.LeafNotice { return samphirepass.LeafNotice{} }
+
 // Probe returns a request for the leaf's load, which any live connection answers. The load itself may be stale or wrong
 // and is not used.
 func (Native) Probe(ctx context.Context, address string) (*http.Request, error) {
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -56,6 +56,7 @@
 	failedAt            samphirepass.Millis
 	// failureRate and refusalRate are the shares of attempts that failed and that the leaf refused.
 	failureRate, refusalRate policy.DecayingRate
+	limiter                  policy.LeafLimiter
 }
 
 // inFlightAttempt is an attempt in flight.
@@ -75,6 +76,8 @@
 type Shares interface {
 	// Share returns the limit of connections to a leaf.
 	Share(a samphirepass.Announcement) int
+	// Senders returns the number of entries that share the requests to a leaf.
+	Senders(a samphirepass.Announcement) int
 	// Version changes whenever a share may have changed.
 	Version() uint64
 }
--- a/leaf/pool_test.go
+++ b/leaf/pool_test.go
@@ -16,8 +16,9 @@
 
 type fixedShares struct{}
 
-func (fixedShares) Share(samphirepass.Announcement) int { return 2 }
-func (fixedShares) Version() uint64                     { return 1 }
+func (fixedShares) Share(samphirepass.Announcement) int   { return 2 }
+func (fixedShares) Version() uint64                       { return 1 }
+func (fixedShares) Senders(samphirepass.Announcement) int { return 1 }
 
 // TestPausesAndSlowLeaves guards against a single pause of the local leaf that sends the next requests to another data centre,
 // and against staying with a local leaf that has become slow.
--- a/leaf/registry.go
+++ b/leaf/registry.go
@@ -40,6 +40,7 @@
 	FirstSeenMs samphirepass.Millis
 	// Direct is set if the leaf itself sent the announcement to this process.
 	Direct bool
+	limit  knownLimit
 	// contentHash covers all of the announcement but Sequence and ColdMs.
 	contentHash uint64
 	// changedVersion is the registry's version at which contentHash last changed.
@@ -50,6 +51,8 @@
 type AgedAnnouncement struct {
 	Announcement samphirepass.Announcement
 	AgeMs        samphirepass.Millis
+	// Limit is the limit that the leaf named last, nil if it never named one.
+	Limit *samphirepass.LeafLimit
 }
 
 // Heartbeat tells another process, which has the announcement already, that the leaf is alive.
@@ -120,6 +123,7 @@
 	if ok && known.Incarnation == a.Incarnation {
 		reg.FirstSeenMs = known.FirstSeenMs
 		reg.LastSeenMs = max(reg.LastSeenMs, known.LastSeenMs)
+		reg.limit = known.limit
 	}
 	before, after := known.contentHash, hashContent(a)
 	reg.contentHash = after
@@ -241,7 +245,7 @@
 	now := r.clock.Now()
 	announcements := make([]AgedAnnouncement, 0, len(r.leaves))
 	for _, reg := range r.leaves {
-		announcements = append(announcements, AgedAnnouncement{Announcement: reg.Announcement, AgeMs: now - reg.LastSeenMs})
+		announcements = append(announcements, reg.aged(now))
 	}
 	return announcements
 }
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -30,6 +30,8 @@
 	protocol samphirepass.LeafProtocol
 	clock    samphirepass.Clock
 	limits   answerLimits
+	// OnNotice is called with what a leaf said of itself, in each of its answers; it may be nil.
+	OnNotice NoticeHandler
 	// canProbe is set if the protocol has a request to check that an idle connection is alive.
 	canProbe bool
 }
@@ -155,7 +157,23 @@
 		return samphirepass.Reply{}, attemptError(kind, fmt.Errorf("send to %s: %w", to.Leaf, err))
 	}
 	pc.idleTimeoutMs = idleTimeout(resp.Header)
-	return s.protocol.Reply(resp, body, a)
+	reply, err := s.protocol.Reply(resp, body, a)
+	s.passNotice(to, resp, err)
+	return reply, err
+}
+
+// passNotice passes on what the leaf says of itself. An answer that is not its own counts for nothing, and a failure that names no limit
+// does not end one.
+func (s *Sender) passNotice(to samphirepass.Announcement, resp *http.Response, err error) {
+	n := s.protocol.Notice(resp)
+	failure := (*samphirepass.AttemptError)(nil)
+	if errors.As(err, &failure) && (failure.Kind == samphirepass.FailureMismatch || failure.Kind == samphirepass.FailureGone) {
+		return
+	}
+	if s.OnNotice == nil || (err != nil && n == samphirepass.LeafNotice{}) {
+		return
+	}
+	s.OnNotice(to, n)
 }
 
 // idleTimeout returns the idle timeout in a Keep-Alive header, 0 if there is none or it is malformed.
--- a/leaf/sender_test.go
+++ b/leaf/sender_test.go
@@ -18,6 +18,7 @@
 
 func (f fixedShares) Share(samphirepass.Announcement) int { return int(f) }
 func (f fixedShares) Version() uint64                     { return 1 }
+func (fixedShares) Senders(samphirepass.Announcement) int { return 1 }
 
 func startLeaf(t *testing.T, o standin.Options) *standin.Leaf {
 	t.Helper()
--- /dev/null
+++ b/leafnotice.go
@@ -0,0 +1,15 @@
+package samphirepass
+
+// LeafNotice is what a leaf says of itself in an answer, whatever the request was.
+type LeafNotice struct {
+	// LimitPerSecond is the number of requests a second that the leaf takes from all VMs together, 0 if it names none.
+	LimitPerSecond float64
+}
+
+// LeafLimit is the limit that a leaf named last.
+type LeafLimit struct {
+	// PerSecond is the number of requests a second that the leaf takes from all VMs together, 0 if it has no limit.
+	PerSecond float64
+	// AgeMs is the time since a VM heard of it.
+	AgeMs Millis
+}
