leaf, directory: Send nothing more to a leaf that says in an answer that it leaves

Callers of such a leaf met its end. Cause: of the same class as the limits: what a leaf says in an answer was not read, only what it announces. Change: the gateway that hears it marks the leaf as draining at once, which is final for that start of the leaf, and tells a registrar; from there it goes to all on the way of any other change.

--- a/directory/reports.go
+++ b/directory/reports.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	kindReport = "report-limits"
+	kindReport = "report-notices"
 	// reportDelayMs is how long a report waits for others, so that they are sent together.
 	reportDelayMs samphirepass.Millis = 20
 	// reportTimeoutMs is the time within which a source must take a report before another one gets it.
@@ -23,6 +23,7 @@
 	Leaf        samphirepass.Leaf
 	Incarnation samphirepass.Incarnation
 	Limit       samphirepass.LeafLimit
+	Leaving     bool
 	heardAt     samphirepass.Millis
 }
 
@@ -34,6 +35,9 @@
 func (s *Source) applyReports(_ context.Context, req reportRequest) (struct{}, error) {
 	for _, r := range req.Reports {
 		s.opts.Registry.SetLimit(r.Leaf, r.Incarnation, r.Limit, true)
+		if r.Leaving {
+			s.opts.Registry.SetLeaving(r.Leaf, r.Incarnation)
+		}
 	}
 	return struct{}{}, nil
 }
@@ -41,14 +45,21 @@
 // HandleNotice records what a leaf said of itself in an answer, and tells the sources if it is new. It implements leaf.NoticeHandler.
 func (f *Follower) HandleNotice(from samphirepass.Announcement, n samphirepass.LeafNotice) {
 	limit := samphirepass.LeafLimit{PerSecond: n.LimitPerSecond}
-	if !f.opts.Registry.SetLimit(from.Leaf, from.Incarnation, limit, false) {
+	newLimit := f.opts.Registry.SetLimit(from.Leaf, from.Incarnation, limit, false)
+	if newLimit {
+		f.opts.Logf("Leaf %s of %s names a limit of %.1f requests a second (0: none).", from.Leaf, from.Service, n.LimitPerSecond)
+	}
+	nowLeaving := n.Leaving && f.opts.Registry.SetLeaving(from.Leaf, from.Incarnation)
+	if nowLeaving {
+		f.opts.Logf("Leaf %s of %s says in an answer that it leaves.", from.Leaf, from.Service)
+	}
+	if !newLimit && !nowLeaving {
 		return
 	}
-	f.opts.Logf("Leaf %s of %s names a limit of %.1f requests a second (0: none).", from.Leaf, from.Service, n.LimitPerSecond)
 	select {
-	case f.reports <- leafReport{Leaf: from.Leaf, Incarnation: from.Incarnation, Limit: limit, heardAt: f.opts.Clock.Now()}:
+	case f.reports <- leafReport{Leaf: from.Leaf, Incarnation: from.Incarnation, Limit: limit, Leaving: n.Leaving, heardAt: f.opts.Clock.Now()}:
 	default:
-		f.opts.Logf("Limit of leaf %s not reported: %d reports are waiting.", from.Leaf, maxWaitingReports)
+		f.opts.Logf("What leaf %s says is not reported: %d reports are waiting.", from.Leaf, maxWaitingReports)
 	}
 }
 
@@ -81,7 +92,7 @@
 			return
 		}
 	}
-	f.opts.Logf("%d limits of leaves not reported: no source took them (%v).", len(reports), lastErr)
+	f.opts.Logf("What %d leaves say is not reported: no source took it (%v).", len(reports), lastErr)
 }
 
 func (f *Follower) callReport(ctx context.Context, address string, reports []leafReport) error {
--- a/directory/reports_test.go
+++ b/directory/reports_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"samphirepass"
 )
 
@@ -34,3 +36,22 @@
 		first, second = second, first
 	}
 }
+
+// TestProofLeavingReachesAllEntries guards against a leaf that some entries go on using after it has told another one that it leaves.
+func TestProofLeavingReachesAllEntries(t *testing.T) {
+	sources := startSources(t, 2)
+	entries := []*testEntry{startEntry(t, "e1", sources), startEntry(t, "e2", sources)}
+	announce(sources[1], "b", 1, samphirepass.LeafServing)
+	for _, e := range entries {
+		eventually(t, 10*time.Second, func() bool { return len(e.registry.Serving("desk")) == 1 }, "the leaf is known")
+	}
+	from := entries[0].registry.Serving("desk")[0].Announcement
+	entries[0].HandleNotice(from, samphirepass.LeafNotice{Leaving: true})
+	announce(sources[1], "b", 2, samphirepass.LeafServing)
+	require.Empty(t, entries[0].registry.Serving("desk"), "the entry that heard it stops at once")
+	eventually(t, 2*time.Second, func() bool { return len(entries[1].registry.Serving("desk")) == 0 }, "the other entry stops, too")
+	time.Sleep(200 * time.Millisecond)
+	for _, s := range sources {
+		require.Empty(t, s.registry.Serving("desk"), "a later heartbeat does not bring it back")
+	}
+}
--- a/leaf/notices.go
+++ b/leaf/notices.go
@@ -66,6 +66,18 @@
 	return changed
 }
 
+// SetLeaving records that an incarnation of a leaf takes no new requests any more, and reports whether this was not yet known.
+func (r *Registry) SetLeaving(name samphirepass.Leaf, incarnation samphirepass.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reg, ok := r.leaves[name]
+	if !ok || reg.Incarnation != incarnation || reg.State.Leaving() {
+		return false
+	}
+	r.setStateLocked(reg, samphirepass.LeafDraining)
+	return true
+}
+
 // aged returns the registration as it is sent to other processes.
 func (r Registration) aged(now samphirepass.Millis) AgedAnnouncement {
 	a := AgedAnnouncement{Announcement: r.Announcement, AgeMs: now - r.LastSeenMs}
--- a/leaf/registry.go
+++ b/leaf/registry.go
@@ -191,14 +191,19 @@
 	if !ok || reg.State == samphirepass.LeafGone {
 		return false
 	}
-	reg.State = samphirepass.LeafGone
+	r.setStateLocked(reg, samphirepass.LeafGone)
+	return true
+}
+
+// setStateLocked changes the state of a leaf.
+func (r *Registry) setStateLocked(reg Registration, state samphirepass.LeafState) {
+	reg.State = state
 	before := reg.contentHash
 	reg.contentHash = hashContent(reg.Announcement)
 	r.digest ^= before ^ reg.contentHash
 	r.incrementVersionLocked()
 	reg.changedVersion = r.version
-	r.leaves[name] = reg
-	return true
+	r.leaves[reg.Leaf] = reg
 }
 
 // RemoveExpired drops the leaves that have sent no heartbeat for so long that no message of theirs can still be in transit.
--- a/leafnotice.go
+++ b/leafnotice.go
@@ -2,6 +2,8 @@
 
 // LeafNotice is what a leaf says of itself in an answer, whatever the request was.
 type LeafNotice struct {
+	// Leaving is set if the leaf takes no new requests any more.
+	Leaving bool
 	// LimitPerSecond is the number of requests a second that the leaf takes from all VMs together, 0 if it names none.
 	LimitPerSecond float64
 }
