leaf, platform: Send nothing to a leaf that refuses while the pause that it names lasts

Cause: of the same class as the limits: the Retry-After of a leaf's 503 was not read. Change: the gateway that was refused passes the leaf over until the time is over, or the leaf has started anew; a request with no other leaf is refused at once and told when to come back. Other gateways are not bound: the leaf speaks to one VM, and if all heeded it, they would stay away and come back together.

--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -21,8 +21,7 @@
 	ownDelayShardShare = 0.25
 )
 
-// errLimited means that no leaf of a shard takes another request now.
-var errLimited = eris.New("every leaf has reached the limit that it named")
+var errLimited = eris.New("no leaf takes a request now: each has reached the limit that it named, or asked for a pause")
 
 // attemptResult is the outcome of one attempt.
 type attemptResult struct {
--- a/leaf/notices.go
+++ b/leaf/notices.go
@@ -98,30 +98,51 @@
 // NoticeHandler is called with what a leaf said of itself in an answer.
 type NoticeHandler func(from samphirepass.Announcement, n samphirepass.LeafNotice)
 
-// reserve takes a request to a leaf from this entry's share of its limit, and reports whether it was within the limit.
+// reserve takes a request to a leaf from this entry's share of its limit, and reports whether the leaf takes it now.
 func (p *Pool) reserve(reg Registration) bool {
 	now := p.clock.Now()
 	limit := reg.LimitPerSecond(now)
-	if limit == 0 {
-		return true
-	}
 	t := p.target(reg.Announcement)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limiter.Take(now, limit, p.shares.Senders(reg.Announcement))
+	if t.pauseLocked(now, reg.Incarnation) > 0 {
+		return false
+	}
+	return limit == 0 || t.limiter.Take(now, limit, p.shares.Senders(reg.Announcement))
 }
 
 // waitMs returns the time until a leaf takes another request of this entry, 0 if it does now.
 func (p *Pool) waitMs(reg Registration) samphirepass.Millis {
 	now := p.clock.Now()
 	limit := reg.LimitPerSecond(now)
-	if limit == 0 {
-		return 0
-	}
 	t := p.target(reg.Announcement)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limiter.Wait(now, limit, p.shares.Senders(reg.Announcement))
+	wait := t.pauseLocked(now, reg.Incarnation)
+	if limit > 0 {
+		wait = max(wait, t.limiter.Wait(now, limit, p.shares.Senders(reg.Announcement)))
+	}
+	return wait
+}
+
+// pause records that a leaf wants no requests of this entry for some time.
+func (p *Pool) pause(a samphirepass.Announcement, d samphirepass.Millis) {
+	t := p.target(a)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	until := p.clock.Now() + d
+	if t.pausedIncarnation == a.Incarnation {
+		until = max(until, t.pausedUntil)
+	}
+	t.pausedUntil, t.pausedIncarnation = until, a.Incarnation
+}
+
+// pauseLocked returns how much longer the leaf wants no requests of this entry, 0 if it does.
+func (t *target) pauseLocked(now samphirepass.Millis, incarnation samphirepass.Incarnation) samphirepass.Millis {
+	if t.pausedIncarnation != incarnation {
+		return 0
+	}
+	return max(t.pausedUntil-now, 0)
 }
 
 // minWaitMs returns the time until one of the leaves takes a request, 0 if one does now or there is none.
--- a/leaf/notices_test.go
+++ b/leaf/notices_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,3 +73,56 @@
 		})
 	}
 }
+
+// pausingProtocol is the native protocol with a pause in refusals.
+type pausingProtocol struct{ leaf.Native }
+
+func (pausingProtocol) Notice(resp *http.Response) samphirepass.LeafNotice {
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		return samphirepass.LeafNotice{}
+	}
+	return samphirepass.LeafNotice{RetryAfterMs: 400}
+}
+
+// TestProofPauseIsKept has the leaves of a service refuse requests with a pause: later ones are refused at once, and a leaf that has
+// started anew is asked.
+func TestProofPauseIsKept(t *testing.T) {
+	var arrivals atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrivals.Add(1)
+		w.Header().Set(leaf.HeaderRequest, r.Header.Get(leaf.HeaderRequest))
+		w.Header().Set(leaf.HeaderNotRun, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	clock := samphirepass.SystemClock{}
+	r := leaf.NewRegistry(clock)
+	a := newAnnouncement("a", 1, 1, samphirepass.LeafServing)
+	a.Service, a.Address = service(0), strings.TrimPrefix(server.URL, "http://")
+	r.Apply(a, 0, true)
+	pool := leaf.NewPool(clock, fixedShares(2))
+	d := leaf.NewDeliverer(leaf.DelivererOptions{
+		Registry: r, Pool: pool, Sender: leaf.NewSender(pool, pausingProtocol{}, clock), Chooser: lowestNameChooser{}, Clock: clock,
+		Budget: func(samphirepass.Service) samphirepass.Budget { return &fixedBudget{remaining: 9} },
+	})
+	route := testRoute
+	route.Services = []samphirepass.WeightedService{{Service: service(0), Weight: 1}}
+	request := newDelivery(route)
+	request.Request.Forwarded = samphirepass.ForwardedRequest{Method: "GET", Target: "/"}
+	require.False(t, d.Deliver(t.Context(), request).MaybeRun)
+	for range 5 {
+		began := time.Now()
+		result := d.Deliver(t.Context(), request)
+		require.Less(t, time.Since(began), 50*time.Millisecond)
+		require.False(t, result.MaybeRun)
+		require.Positive(t, result.RetryAfterMs)
+	}
+	require.EqualValues(t, 1, arrivals.Load())
+	time.Sleep(500 * time.Millisecond)
+	d.Deliver(t.Context(), request)
+	require.EqualValues(t, 2, arrivals.Load(), "after the pause it is asked again")
+	a.Incarnation = 2
+	r.Apply(a, 0, true)
+	d.Deliver(t.Context(), request)
+	require.EqualValues(t, 3, arrivals.Load())
+}
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -57,6 +57,9 @@
 	// failureRate and refusalRate are the shares of attempts that failed and that the leaf refused.
 	failureRate, refusalRate policy.DecayingRate
 	limiter                  policy.LeafLimiter
+	// pausedUntil is the time until which an incarnation of the leaf wants no requests of this entry.
+	pausedUntil       samphirepass.Millis
+	pausedIncarnation samphirepass.Incarnation
 }
 
 // inFlightAttempt is an attempt in flight.
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -158,19 +158,22 @@
 	}
 	pc.idleTimeoutMs = idleTimeout(resp.Header)
 	reply, err := s.protocol.Reply(resp, body, a)
-	s.passNotice(to, resp, err)
+	s.handleNotice(to, resp, err)
 	return reply, err
 }
 
-// passNotice passes on what the leaf says of itself. An answer that is not its own counts for nothing, and a failure that names no limit
-// does not end one.
-func (s *Sender) passNotice(to samphirepass.Announcement, resp *http.Response, err error) {
+// handleNotice heeds and passes on what the leaf says of itself. An answer that is not its own counts for nothing, and a failure that names
+// no limit does not end one.
+func (s *Sender) handleNotice(to samphirepass.Announcement, resp *http.Response, err error) {
 	n := s.protocol.Notice(resp)
 	failure := (*samphirepass.AttemptError)(nil)
 	if errors.As(err, &failure) && (failure.Kind == samphirepass.FailureMismatch || failure.Kind == samphirepass.FailureGone) {
 		return
 	}
-	if s.OnNotice == nil || (err != nil && n == samphirepass.LeafNotice{}) {
+	if n.RetryAfterMs > 0 {
+		s.pool.pause(to, n.RetryAfterMs)
+	}
+	if s.OnNotice == nil || (err != nil && n == samphirepass.LeafNotice{RetryAfterMs: n.RetryAfterMs}) {
 		return
 	}
 	s.OnNotice(to, n)
--- a/leafnotice.go
+++ b/leafnotice.go
@@ -6,6 +6,8 @@
 	Leaving bool
 	// LimitPerSecond is the number of requests a second that the leaf takes from all VMs together, 0 if it names none.
 	LimitPerSecond float64
+	// RetryAfterMs is how long the leaf wants no requests of this VM, 0 if it does not say.
+	RetryAfterMs Millis
 }
 
 // LeafLimit is the limit that a leaf named last.
