standin: Close a connection whose link was cut during its dial

Cause: the relay looked at its link before it dialled, and SetDefault closes only the connections that are registered afterwards; one in between survived the cut. Change: the link is looked at again when the connection is registered. Result: the tests of standin and directory pass; the race was not forced.

--- a/standin/relay.go
+++ b/standin/relay.go
@@ -164,8 +164,15 @@
 	}
 	r.mu.Lock()
 	c.outbound = outbound
-	r.conns[c] = true
+	// The link may have been cut during the dial.
+	cut = r.link(from) == LinkCut
+	if !cut {
+		r.conns[c] = true
+	}
 	r.mu.Unlock()
+	if cut {
+		return
+	}
 	done := make(chan struct{}, 2)
 	go r.copy(c, inbound, outbound, done)
 	go r.copy(c, outbound, inbound, done)
