gateway, daemon: Refuse a request that may outlast the stop of its gateway

Callers saw, in a planned stop, requests cut without an answer that they had sent on an open connection late in the time to stop, among them requests that may run only once. Cause: a stopping gateway serves its open connections until it ends, and took every request that still came, whatever time it might last. Change: once new connections have ended, a request whose deadline is later than the end of the process is refused as not run, with a retry-after time; other gateways take it at once. Earlier ones are taken as before. Test: TestProofRequestLateInStopIsNotCut failed before (6 of 8 requests cut).

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -30,6 +30,8 @@
 	balancerNoticeMs samphirepass.Millis = 3000
 	// stopMarginMs is the part of the stop time that is reserved for the process to exit after the drain.
 	stopMarginMs samphirepass.Millis = 400
+	// answerMarginMs is the part of the stop time that is reserved for writing the last answers.
+	answerMarginMs samphirepass.Millis = 100
 	// leafDiscoveryTimeoutMs is the time after the start at which a gateway reports ready even if some services have no known leaf.
 	// It is longer than the interval between two heartbeats of a leaf.
 	leafDiscoveryTimeoutMs samphirepass.Millis = 3000
@@ -64,6 +66,8 @@
 	metricsServer   *web.Server
 	startedAt       samphirepass.Millis
 	stopping        atomic.Bool
+	// cutAt is when the requests in flight are cut, in milliseconds of clock, 0 until only open connections are served.
+	cutAt atomic.Int64
 	// wasReady is set once the gateway has reported ready.
 	wasReady atomic.Bool
 
@@ -95,7 +99,7 @@
 		VM: cfg.VM, Local: g.deliverer, Registry: g.registry, Peers: g.peers, Offers: g.follower.Offers, Shards: g.shards, DataCentre: cfg.DataCentre,
 		Address: cfg.CollectAddress(), Collecting: g.follower.IsCollector, Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
 	})
-	g.dispatcher = gateway.NewDispatcher(gateway.Options{Deliverer: g.collectorClient, Metrics: g.metrics, Clock: clock, Log: log.For("gateway")})
+	g.dispatcher = gateway.NewDispatcher(gateway.Options{Deliverer: g.collectorClient, CutIn: g.cutIn, Metrics: g.metrics, Clock: clock, Log: log.For("gateway")})
 	return g, g.listen()
 }
 
@@ -256,6 +260,7 @@
 	remainingMs := g.cfg.StopMs - stopMarginMs
 	noticeMs := min(balancerNoticeMs, remainingMs/2)
 	time.Sleep(noticeMs.Duration())
+	g.cutAt.Store(int64(g.clock.Now() + remainingMs - noticeMs - answerMarginMs))
 	ctx, cancel := context.WithTimeout(context.Background(), (remainingMs - noticeMs).Duration())
 	defer cancel()
 	err := g.clientServer.Drain(ctx, stopMarginMs)
@@ -269,6 +274,13 @@
 	return nil
 }
 
+// cutIn returns the time until the requests in flight are cut, and reports whether new connections have ended. Until then a request is
+// taken whatever time it may last: most are answered long before.
+func (g *Gateway) cutIn() (samphirepass.Millis, bool) {
+	at := g.cutAt.Load()
+	return samphirepass.Millis(at) - g.clock.Now(), at != 0
+}
+
 // connectionRefresher periodically removes expired leaves from the registry and updates the connection limits of those that
 // are not leaving.
 type connectionRefresher struct{ g *Gateway }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -33,6 +33,8 @@
 	retryAfterNoLeafMs samphirepass.Millis = 300
 	// retryAfterRefusedMs is the retry-after time if all leaves refused the request.
 	retryAfterRefusedMs samphirepass.Millis = 100
+	// retryAfterStoppingMs is the retry-after time of a stopping gateway: others take requests.
+	retryAfterStoppingMs samphirepass.Millis = 1
 	// noDeadlineMs is the deadline of a request that names none, before the route's timeout bounds it.
 	noDeadlineMs samphirepass.Millis = 1e9
 )
@@ -48,9 +50,12 @@
 // Options set up a Dispatcher.
 type Options struct {
 	Deliverer Deliverer
-	Metrics   *metrics.Metrics
-	Clock     samphirepass.Clock
-	Log       logs.Logger
+	// CutIn returns the time until the requests in flight are cut, and reports whether requests that may last longer are refused; nil means
+	// that none are.
+	CutIn   func() (samphirepass.Millis, bool)
+	Metrics *metrics.Metrics
+	Clock   samphirepass.Clock
+	Log     logs.Logger
 }
 
 // Dispatcher answers requests by the current routing document. It implements samphirepass.Dispatcher and is safe for concurrent use.
@@ -144,6 +149,9 @@
 	}
 	var result leaf.DeliveryResult
 	answer, refusal := d.checkCoverage(delivery)
+	if refusal == nil {
+		refusal = d.checkCut(delivery)
+	}
 	if refusal == nil {
 		deliverCtx, cancel := context.WithTimeout(ctx, delivery.Request.DeadlineMs.Duration())
 		defer cancel()
@@ -205,6 +213,18 @@
 	return samphirepass.ClientAnswer{}, withRetryAfter(retryAfterNoLeafMs, refusal)
 }
 
+// checkCut refuses a request that may still be in flight when the process ends. The client can send it to another gateway at once.
+func (d *Dispatcher) checkCut(delivery leaf.Delivery) *samphirepass.Refusal {
+	if d.opts.CutIn == nil {
+		return nil
+	}
+	left, stopping := d.opts.CutIn()
+	if !stopping || delivery.Request.DeadlineMs <= left {
+		return nil
+	}
+	return withRetryAfter(retryAfterStoppingMs, samphirepass.Refuse(samphirepass.CodeStopping, "the gateway stops in %.0f ms, and the request may take %.0f ms", left, delivery.Request.DeadlineMs))
+}
+
 func withRetryAfter(after samphirepass.Millis, r *samphirepass.Refusal) *samphirepass.Refusal {
 	r.RetryAfterMs = after
 	return r
