collector, directory, peer: Put one collector of a data centre in charge of each shard

Change: each shard goes to the collector that ranks highest for it; small parts join the largest; one collector for 12 entries, and a deselected one lingers; connections in advance only to nearby leaves of own shards; fewer heartbeats. Ruled out: the cost of an attempt (42 us in a benchmark, 0.2 ms live).

--- a/collector/split.go
+++ b/collector/split.go
@@ -22,10 +22,10 @@
 	c.connectTo(policy.SplitShards(c.shardDataCentres(shards), c.opts.DataCentre, c.offerDataCentres(offers)), offers)
 }
 
-// connectTo opens the connections to the collectors in this entry's own data centre and in those of the parts.
+// connectTo opens the connections to the collectors in the data centres of the parts, or in this entry's own while no shard is known.
 func (c *Client) connectTo(parts []samphirepass.ShardPart, offers []directory.CollectorOffer) {
 	for _, offer := range offers {
-		if offer.DataCentre == c.opts.DataCentre || slices.ContainsFunc(parts, func(p samphirepass.ShardPart) bool { return p.DataCentre == offer.DataCentre }) {
+		if (len(parts) == 0 && offer.DataCentre == c.opts.DataCentre) || slices.ContainsFunc(parts, func(p samphirepass.ShardPart) bool { return p.DataCentre == offer.DataCentre }) {
 			c.opts.Peers.Get(offer.Address).Preconnect()
 		}
 	}
@@ -90,7 +90,7 @@
 // own if they are much larger than itself or several of them share the request.
 func (c *Client) usableOffers(n int) []directory.CollectorOffer {
 	s := c.offerSnapshot()
-	if policy.SpreadWidth(n, len(s.own)) > 1 {
+	if policy.SpreadsRequest(n, len(s.own)) {
 		return s.offers
 	}
 	var usable []directory.CollectorOffer
--- a/collector/spread.go
+++ b/collector/spread.go
@@ -1,7 +1,6 @@
 package collector
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -17,6 +16,9 @@
 // requests to it, and the one that gets them if the first one fails.
 const preparedPerDataCentre = 2
 
+// mergePartsMs is the part of the time until a partial answer that is kept for reading and merging the answers of several collectors.
+const mergePartsMs samphirepass.Millis = 5
+
 // part is a part of a request's shards together with who collects it.
 type part struct {
 	samphirepass.ShardPart
@@ -44,7 +46,7 @@
 	return collectors
 }
 
-// spreadPart divides the part of a data centre among its usable collectors. A part that is too small for that is returned whole.
+// spreadPart divides the part of a data centre among its usable collectors, if the request has enough shards.
 func (c *Client) spreadPart(p samphirepass.ShardPart, shards []samphirepass.Service, offers []directory.CollectorOffer) []part {
 	var usable []directory.CollectorOffer
 	all := c.collectorsIn(p.DataCentre, offers)
@@ -55,11 +57,9 @@
 		}
 	}
 	c.mu.Unlock()
-	width := policy.SpreadWidth(len(p.Shards), len(usable))
-	if width == 1 {
+	if !policy.SpreadsRequest(len(shards), len(usable)) {
 		return []part{{ShardPart: p}}
 	}
-	usable = usable[:width]
 	parts := make([]part, len(usable))
 	for i, offer := range usable {
 		parts[i] = part{ShardPart: samphirepass.ShardPart{DataCentre: p.DataCentre}, spread: true, collector: offer, local: offer.Address == c.opts.Address}
@@ -87,18 +87,24 @@
 // ShardUse returns the use of a shard of a route with n shards. ok is false if requests are not spread, so that any collector may send.
 func (c *Client) ShardUse(s samphirepass.Service, n int) (use ShardUse, ok bool) {
 	known := c.offerSnapshot()
-	if width := policy.SpreadWidth(n, len(known.own)); width < 2 || width < len(known.own) {
+	if !policy.SpreadsRequest(n, len(known.own)) {
 		return ShardUse{}, false
 	}
-	use.Active = known.dataCentres
-	use.Prepared = use.Active * preparedPerDataCentre
-	collectors := slices.Clone(known.own)
-	slices.SortFunc(collectors, func(a, b directory.CollectorOffer) int {
-		return cmp.Compare(policy.CollectorRank(s, b.Address, b.Capacity.Cores), policy.CollectorRank(s, a.Address, a.Capacity.Cores))
-	})
-	prepared := collectors[:min(preparedPerDataCentre, len(collectors))]
-	use.Own = slices.ContainsFunc(prepared, func(offer directory.CollectorOffer) bool { return offer.Address == c.opts.Address })
-	return use, true
+	return ShardUse{
+		Active: known.dataCentres, Prepared: known.dataCentres * preparedPerDataCentre,
+		Own: c.opts.Collecting != nil && c.opts.Collecting() && c.ownRank(s, known.own) < preparedPerDataCentre,
+	}, true
+}
+
+// ownRank returns how many of the collectors suit a shard better than this entry.
+func (c *Client) ownRank(s samphirepass.Service, collectors []directory.CollectorOffer) int {
+	own, better := policy.CollectorRank(s, c.opts.Address, c.opts.Capacity.Cores), 0
+	for _, offer := range collectors {
+		if offer.Address != c.opts.Address && policy.CollectorRank(s, offer.Address, offer.Capacity.Cores) > own {
+			better++
+		}
+	}
+	return better
 }
 
 // partDelivery returns the delivery of a part of the shards. Of the whole request allowed shards may be missing; due is the share of them
@@ -140,6 +146,9 @@
 
 // gatherParts delivers the parts and returns once enough shards have answered, or too many cannot answer any more.
 func (c *Client) gatherParts(ctx context.Context, d leaf.Delivery, parts []part, dataCentres [][]samphirepass.DataCentre, offers []directory.CollectorOffer) leaf.DeliveryResult {
+	if d.PartialAfterMs > 0 {
+		d.PartialAfterMs = max(d.PartialAfterMs-mergePartsMs, 1)
+	}
 	g := &partGather{
 		delivery: d, parts: parts, allowed: len(d.Shards) - d.RequiredShards(), events: make(chan partEvent, 2*len(parts)), needRest: make(chan struct{}),
 		results: make([]leaf.DeliveryResult, len(parts)), reported: make([]bool, len(parts)), final: make([]bool, len(parts)),
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -182,9 +182,12 @@
 
 // shardUse returns how many of the collectors send requests to the leaves of a shard, and whether this gateway is one of them.
 func (g *Gateway) shardUse(s samphirepass.Service, collectors int) collector.ShardUse {
+	if !g.follower.IsCollector() {
+		return collector.ShardUse{Active: collectors, Prepared: collectors}
+	}
 	use, ok := g.collectorClient.ShardUse(s, g.dispatcher.MaxShards())
 	if !ok {
-		return collector.ShardUse{Active: collectors, Prepared: collectors, Own: g.follower.IsCollector()}
+		return collector.ShardUse{Active: collectors, Prepared: collectors, Own: true}
 	}
 	return use
 }
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -72,13 +72,16 @@
 
 // wantsPreconnect reports whether to open a connection to a leaf before a request needs it. That is worth it only for shards, of which
 // a request needs many at once, and not if collectors ask the leaves for this gateway. Whether they do is unknown until
-// offerDiscoveryMs after the start.
+// offerDiscoveryMs after the start. A collector to which requests are spread asks a leaf elsewhere only if one nearby fails.
 func (s routingShares) wantsPreconnect(a samphirepass.Announcement) bool {
 	if !s.g.isShard(a.Service) {
 		return false
 	}
 	if s.g.follower.IsCollector() {
-		return s.g.shardUse(a.Service, s.g.follower.CollectorCount()).Own
+		if use, ok := s.g.collectorClient.ShardUse(a.Service, s.g.dispatcher.MaxShards()); ok {
+			return use.Own && a.DataCentre == s.g.cfg.DataCentre
+		}
+		return true
 	}
 	return s.g.follower.CollectorCount() == 0 && s.g.clock.Now()-s.g.startedAt > offerDiscoveryMs
 }
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -120,9 +120,11 @@
 	// tryingLocal is set while a source in the follower's own data centre is tried in place of a followed one.
 	tryingLocal bool
 	entryCounts slidingMax
-	// collectorCounts are the reported numbers of collectors; isCollector is set if this entry is one of them.
+	// collectorCounts are the reported numbers of collectors. collectorAt is when a source last reported that this entry is one of them, if
+	// everCollector is set.
 	collectorCounts slidingMax
-	isCollector     bool
+	collectorAt     samphirepass.Millis
+	everCollector   bool
 
 	routingMu sync.Mutex
 
@@ -353,7 +355,9 @@
 	}
 	f.entryCounts.add(max(reply.EntryCount, 1), now)
 	f.collectorCounts.add(reply.CollectorCount, now)
-	f.isCollector = reply.IsCollector
+	if reply.IsCollector {
+		f.collectorAt, f.everCollector = now, true
+	}
 	if !s.stale {
 		f.upToDateAt, f.everUpToDate = now, true
 	}
--- a/directory/offers.go
+++ b/directory/offers.go
@@ -11,7 +11,11 @@
 
 // entriesPerCollector is the number of entries of a data centre for each collector there. With fewer collectors their processors limit
 // the requests over many shards, with more of them each has to keep connections to more leaves and entries.
-const entriesPerCollector = 6
+const entriesPerCollector = 12
+
+// collectorLingerMs is how long an entry is prepared for the requests of others after it was last selected to collect: others learn later
+// that it is not selected any more.
+const collectorLingerMs samphirepass.Millis = followerTTLMs + 4000
 
 // directOffers returns the offers of the collectors among the entries that follow this source.
 func (s *Source) directOffers() []CollectorOffer {
@@ -121,11 +125,11 @@
 	return f.collectorCounts.largest(f.opts.Clock.Now())
 }
 
-// IsCollector reports whether this entry collects for smaller ones, as a source last reported.
+// IsCollector reports whether this entry collects for others, as a source reported within collectorLingerMs.
 func (f *Follower) IsCollector() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.isCollector
+	return f.everCollector && f.opts.Clock.Now()-f.collectorAt < collectorLingerMs
 }
 
 // WithdrawOffer withdraws the offer of this entry to collect for smaller ones.
--- a/directory/source.go
+++ b/directory/source.go
@@ -197,8 +197,8 @@
 	return reply, hasChanges
 }
 
-// addHeartbeats completes a reply. Control processes detect silent leaves themselves and get heartbeats, at most one list per
-// heartbeatIntervalMs; other followers have no use for the direct entries, which are removed.
+// addHeartbeats completes a reply. Control processes detect silent leaves themselves and get heartbeats. They get these, the direct entries
+// and their offers at most once per heartbeatIntervalMs; other followers have no use for them.
 func (s *Source) addHeartbeats(req followRequest, reply followReply) followReply {
 	if req.ControlAddress == "" {
 		reply.DirectEntries = nil
@@ -214,9 +214,11 @@
 		s.followers[key] = f
 	}
 	s.mu.Unlock()
-	if due {
-		reply.Heartbeats = s.opts.Registry.Heartbeats()
+	if !due {
+		reply.DirectEntries, reply.DirectOffers = nil, nil
+		return reply
 	}
+	reply.Heartbeats = s.opts.Registry.Heartbeats()
 	return reply
 }
 
--- a/leaf/preconnect.go
+++ b/leaf/preconnect.go
@@ -87,7 +87,8 @@
 	}
 	dials <- struct{}{}
 	defer func() { <-dials }()
-	if p.registry.Leaving(reg) {
+	// Much may have changed while it waited for its turn.
+	if p.registry.Leaving(reg) || !p.wanted(reg.Announcement) {
 		return
 	}
 	t := p.pool.target(reg.Announcement)
--- a/peer/client.go
+++ b/peer/client.go
@@ -170,7 +170,7 @@
 		return
 	}
 	// Only the client end of a connection sends requests and one-way messages, so it needs no handlers.
-	c.conn = newConn(ws, NewHandlers())
+	c.conn = newClientConn(ws, NewHandlers())
 	go c.conn.run(context.Background())
 }
 
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -16,10 +16,14 @@
 )
 
 const (
-	// HeartbeatIntervalMs is the time between heartbeats. Both ends send them.
-	HeartbeatIntervalMs samphirepass.Millis = 400
-	// HeartbeatTimeoutMs is the time without a received frame after which a connection is closed.
-	HeartbeatTimeoutMs samphirepass.Millis = 1500
+	// serverHeartbeatMs is the time between heartbeats of the end that accepted the connection, by which its clients notice at once that it
+	// has fallen silent. clientHeartbeatMs is that of the end that dialled.
+	serverHeartbeatMs samphirepass.Millis = 400
+	clientHeartbeatMs samphirepass.Millis = 1000
+	// clientTimeoutMs and serverTimeoutMs are the times without a received frame after which the end that dialled and the one that accepted
+	// close a connection.
+	clientTimeoutMs samphirepass.Millis = 1500
+	serverTimeoutMs samphirepass.Millis = 3500
 	// maxFrameBytes is the largest frame that is read.
 	maxFrameBytes = 64 << 20
 	// sendQueueFrames is the number of frames that may be queued for writing.
@@ -70,6 +74,8 @@
 	done       chan struct{}
 	closeOnce  sync.Once
 	clock      samphirepass.SystemClock
+	// heartbeatMs is the time between heartbeats, timeoutMs that without a received frame after which the connection is closed.
+	heartbeatMs, timeoutMs samphirepass.Millis
 	// lastRead is when the last frame was received, or else when the connection was opened.
 	lastRead atomicMillis
 	// lastSent is when the last frame was queued. A heartbeat is skipped shortly after another frame.
@@ -92,6 +98,20 @@
 	return samphirepass.Millis(math.Float64frombits(a.bits.Load()))
 }
 
+// newClientConn returns the end of a connection that this process has dialled.
+func newClientConn(ws *websocket.Conn, h *Handlers) *conn {
+	c := newConn(ws, h)
+	c.heartbeatMs, c.timeoutMs = clientHeartbeatMs, clientTimeoutMs
+	return c
+}
+
+// newServerConn returns the end of a connection that this process has accepted.
+func newServerConn(ws *websocket.Conn, h *Handlers) *conn {
+	c := newConn(ws, h)
+	c.heartbeatMs, c.timeoutMs = serverHeartbeatMs, serverTimeoutMs
+	return c
+}
+
 func newConn(ws *websocket.Conn, h *Handlers) *conn {
 	ws.SetReadLimit(maxFrameBytes)
 	c := &conn{
@@ -152,18 +172,18 @@
 	}
 }
 
-// heartbeatLoop sends heartbeats and closes the connection once the other end has been silent for HeartbeatTimeoutMs.
+// heartbeatLoop sends heartbeats and closes the connection once the other end has been silent for timeoutMs.
 func (c *conn) heartbeatLoop() {
-	t := time.NewTicker(HeartbeatIntervalMs.Duration())
+	t := time.NewTicker(c.heartbeatMs.Duration())
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
-			if c.clock.Now()-c.lastRead.load() > HeartbeatTimeoutMs {
+			if c.clock.Now()-c.lastRead.load() > c.timeoutMs {
 				c.close()
 				return
 			}
-			if c.clock.Now()-c.lastSent.load() >= HeartbeatIntervalMs/2 {
+			if c.clock.Now()-c.lastSent.load() >= c.heartbeatMs/2 {
 				// A failed send closes the connection, which ends this loop.
 				_ = c.send(frame{})
 			}
--- a/peer/server.go
+++ b/peer/server.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return
 	}
-	c := newConn(ws, s.handlers)
+	c := newServerConn(ws, s.handlers)
 	if !s.addConn(c) {
 		// The other end sees the closed connection and sends its requests elsewhere.
 		_ = ws.CloseNow()
--- a/policy/collect.go
+++ b/policy/collect.go
@@ -20,6 +20,8 @@
 	// remoteCollectorCost is the cost of the one merged answer that a collector in another data centre sends.
 	remoteShardCost     = 4.0
 	remoteCollectorCost = 0.2
+	// minPartShare is the share of a request's shards from which a message to another data centre costs less than the answers of its leaves.
+	minPartShare = 0.06
 	// inFlightCost is the cost of each request that the collector has not answered yet.
 	inFlightCost = 0.5
 )
@@ -75,6 +77,7 @@
 		}
 	}
 	assign(own)
+	least := max(int(minPartShare*float64(len(dataCentres))), 1)
 	for len(remaining) > 0 {
 		best, most := samphirepass.DataCentre(""), 0
 		for _, dataCentre := range offered {
@@ -88,7 +91,7 @@
 				best, most = dataCentre, n
 			}
 		}
-		if most == 0 {
+		if most == 0 || (most < least && len(parts) > 0) {
 			break
 		}
 		assign(best)
@@ -99,7 +102,7 @@
 	if len(parts) == 0 {
 		return []samphirepass.ShardPart{{Shards: remaining}}
 	}
-	// Shards without a leaf in any of these data centres go to the largest part.
+	// Shards without a leaf in any of these data centres, and those that would be a part too small, go to the largest part.
 	most := 0
 	for i, p := range parts {
 		if len(p.Shards) > len(parts[most].Shards) {
--- a/policy/spread.go
+++ b/policy/spread.go
@@ -8,12 +8,12 @@
 	"samphirepass"
 )
 
-// minShardsPerCollector is the number of shards below which the cost of one more message exceeds what another collector saves.
-const minShardsPerCollector = 10
+// minSpreadShards is the number of shards below which the messages to several collectors cost more than these save.
+const minSpreadShards = 20
 
-// SpreadWidth returns the number of collectors of one data centre over which n shards are spread.
-func SpreadWidth(n, collectors int) int {
-	return max(min(collectors, n/minShardsPerCollector), 1)
+// SpreadsRequest reports whether a request to n shards is spread over the collectors of a data centre.
+func SpreadsRequest(n, collectors int) bool {
+	return collectors > 1 && n >= minSpreadShards
 }
 
 // CollectorRank returns how well a collector with the given number of cores suits a shard; the highest rank is best. All entries rank
