leaf, directory: Keep what leaves say and how limits are kept apart, and reword comments

Cause: read as a newcomer: leaf/notices.go held the registry's part and that of requests, and some comments read oddly. Change: leaf/limits.go; a constant renamed. No behaviour.

--- a/directory/offers.go
+++ b/directory/offers.go
@@ -13,9 +13,9 @@
 // the requests over many shards, with more of them each has to keep connections to more leaves and entries.
 const entriesPerCollector = 12
 
-// collectorLingerMs is how long an entry is prepared for the requests of others after it was last selected to collect: others learn later
-// that it is not selected any more.
-const collectorLingerMs samphirepass.Millis = followerTTLMs + 4000
+// deselectionDelayMs is how long an entry stays prepared for the requests of others after it was last selected to collect: others learn
+// later that it is not selected any more.
+const deselectionDelayMs samphirepass.Millis = followerTTLMs + 4000
 
 // directOffers returns the offers of the collectors among the entries that follow this source.
 func (s *Source) directOffers() []CollectorOffer {
@@ -125,11 +125,11 @@
 	return f.collectorCounts.largest(f.opts.Clock.Now())
 }
 
-// IsCollector reports whether this entry collects for others, as a source reported within collectorLingerMs.
+// IsCollector reports whether this entry collects for others, as a source reported within deselectionDelayMs.
 func (f *Follower) IsCollector() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.everCollector && f.opts.Clock.Now()-f.collectorAt < collectorLingerMs
+	return f.everCollector && f.opts.Clock.Now()-f.collectorAt < deselectionDelayMs
 }
 
 // WithdrawOffer withdraws the offer of this entry to collect for smaller ones.
--- /dev/null
+++ b/leaf/limits.go
@@ -0,0 +1,102 @@
+package leaf
+
+import "samphirepass"
+
+// reserve takes a request to a leaf from this entry's share of its limit, and reports whether the leaf takes it now.
+func (p *Pool) reserve(reg Registration) bool {
+	now := p.clock.Now()
+	limit := reg.LimitPerSecond(now)
+	t := p.target(reg.Announcement)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.pauseLocked(now, reg.Incarnation) > 0 {
+		return false
+	}
+	return limit == 0 || t.limiter.Take(now, limit, p.shares.Senders(reg.Announcement))
+}
+
+// waitMs returns the time until a leaf takes another request of this entry, 0 if it does now.
+func (p *Pool) waitMs(reg Registration) samphirepass.Millis {
+	now := p.clock.Now()
+	limit := reg.LimitPerSecond(now)
+	t := p.target(reg.Announcement)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wait := t.pauseLocked(now, reg.Incarnation)
+	if limit > 0 {
+		wait = max(wait, t.limiter.Wait(now, limit, p.shares.Senders(reg.Announcement)))
+	}
+	return wait
+}
+
+// pause records that a leaf wants no requests of this entry for some time.
+func (p *Pool) pause(a samphirepass.Announcement, d samphirepass.Millis) {
+	t := p.target(a)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	until := p.clock.Now() + d
+	if t.pausedIncarnation == a.Incarnation {
+		until = max(until, t.pausedUntil)
+	}
+	t.pausedUntil, t.pausedIncarnation = until, a.Incarnation
+}
+
+// pauseLocked returns how much longer the leaf wants no requests of this entry, 0 if it does.
+func (t *target) pauseLocked(now samphirepass.Millis, incarnation samphirepass.Incarnation) samphirepass.Millis {
+	if t.pausedIncarnation != incarnation {
+		return 0
+	}
+	return max(t.pausedUntil-now, 0)
+}
+
+// minWaitMs returns the time until one of the leaves takes a request, 0 if one does now or there is none.
+func (p *Pool) minWaitMs(leaves []Registration) samphirepass.Millis {
+	shortest := samphirepass.Millis(0)
+	for i, reg := range leaves {
+		wait := p.waitMs(reg)
+		if wait == 0 {
+			return 0
+		}
+		if i == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
+// reserveLeaf chooses one of the leaves for an attempt and takes the attempt from its limit. ok is false if none takes one now.
+func (f *fanOut) reserveLeaf(leaves []Registration) (reg Registration, ok bool) {
+	for len(leaves) > 0 {
+		i := f.choose(leaves, f.expected)
+		if f.pool.reserve(leaves[i]) {
+			return leaves[i], true
+		}
+		rest := make([]Registration, 0, len(leaves)-1)
+		leaves = append(append(rest, leaves[:i]...), leaves[i+1:]...)
+	}
+	return Registration{}, false
+}
+
+// checkLimits reports whether leaves of enough shards take a request now. If not, it sets retryAfter: a request that cannot be served
+// should not use up what the leaves still take.
+func (f *fanOut) checkLimits() bool {
+	taking, shortest := 0, samphirepass.Millis(0)
+	for _, leaves := range f.leaves {
+		if len(leaves) == 0 {
+			continue
+		}
+		wait := f.pool.minWaitMs(leaves)
+		if wait == 0 {
+			taking++
+			continue
+		}
+		if shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	if shortest == 0 || taking >= max(f.requiredShards, 1) {
+		return true
+	}
+	f.retryAfter = shortest
+	return false
+}
--- a/leafnotice.go
+++ b/leafnotice.go
@@ -14,6 +14,6 @@
 type LeafLimit struct {
 	// PerSecond is the number of requests a second that the leaf takes from all VMs together, 0 if it has no limit.
 	PerSecond float64
-	// AgeMs is the time since a VM heard of it.
+	// AgeMs is the time since the answer that named it.
 	AgeMs Millis
 }
