--- a/collector/client.go
+++ b/collector/client.go
@@ -112,10 +112,8 @@
 		parts = append(parts, c.spreadPart(p, d.Shards, offers)...)
 	}
 	if len(parts) == 1 {
-		result, rest := c.deliverPart(ctx, d, parts[0], dataCentres, offers)
-		if rest != nil {
-			return rest(ctx)
-		}
+		// A request that is not divided has no other parts that could make up for missing shards.
+		result, _ := c.deliverPart(ctx, d, parts[0], dataCentres, offers)
 		return result
 	}
 	return c.gatherParts(ctx, d, parts, dataCentres, offers)
