directory: Select no single collector among equal entries

Change: entries that are no larger are selected in twos at least. Test: TestEqualEntriesCollect fails on the code before for 15 entries.

--- a/directory/offers.go
+++ b/directory/offers.go
@@ -45,15 +45,16 @@
 }
 
 // selectCollectors returns the offers of the entries that are much larger than the smallest one and, in each data centre, of so many others
-// that there is one for each entriesPerCollector entries. Sources with the same followers select the same ones.
+// that there is one for each entriesPerCollector entries. A single one that is no larger than the others could not relieve them. Sources
+// with the same followers select the same ones.
 func selectCollectors(offers []CollectorOffer, entries map[samphirepass.DataCentre]int, smallest samphirepass.Capacity) []CollectorOffer {
 	slices.SortFunc(offers, func(a, b CollectorOffer) int {
 		return cmp.Or(cmp.Compare(b.Capacity.Cores, a.Capacity.Cores), cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)))
 	})
 	selected := map[samphirepass.DataCentre]int{}
 	return slices.DeleteFunc(offers, func(offer CollectorOffer) bool {
-		enough := selected[offer.DataCentre] >= entries[offer.DataCentre]/entriesPerCollector
-		if enough && !offer.Capacity.SuitsOffloadFrom(smallest) {
+		wanted := entries[offer.DataCentre] / entriesPerCollector
+		if (wanted < 2 || selected[offer.DataCentre] >= wanted) && !offer.Capacity.SuitsOffloadFrom(smallest) {
 			return true
 		}
 		selected[offer.DataCentre]++
--- a/directory/offers_test.go
+++ b/directory/offers_test.go
@@ -118,3 +118,23 @@
 		eventually(t, 15*time.Second, func() bool { return f.CollectorCount() >= 3 }, "several entries collect for the others")
 	}
 }
+
+// TestEqualEntriesCollect has no entry that is larger than another: several of many collect, but never a single one for all.
+func TestEqualEntriesCollect(t *testing.T) {
+	tests := map[string]struct{ entries, collectors int }{
+		"too few for two collectors": {15, 0},
+		"enough for two":             {24, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			sources := startSources(t, 1)
+			var entries []*directory.Follower
+			for i := range tt.entries {
+				entries = append(entries, startEntryWithCapacity(t, fmt.Sprint(i+1), 0.2, sources))
+			}
+			for _, f := range entries {
+				eventually(t, 15*time.Second, func() bool { return f.EntryCount() == tt.entries && f.CollectorCount() == tt.collectors }, "the number of collectors")
+			}
+		})
+	}
+}
