--- a/collector/spread_test.go
+++ b/collector/spread_test.go
@@ -123,3 +123,15 @@
 	require.Less(t, time.Since(began), 300*time.Millisecond, "the answers of the others are enough")
 	require.Equal(t, 90-len(collectors[2].deliverer.calls()[0].Shards), result.Answered)
 }
+
+// TestProofRestIsAskedForInTime guards against the loss of a part that its collector has given up, as nobody asked for the rest while
+// another collector had not reported.
+func TestProofRestIsAskedForInTime(t *testing.T) {
+	collectors := []*testCollector{startCollector(t, 0), startCollector(t, 0), startCollector(t, 500*time.Millisecond)}
+	collectors[0].deliverer.late, collectors[0].deliverer.lateBy = 10, 300*time.Millisecond
+	d := largeDelivery(90)
+	c, _ := startEntryForSpread(t, d, collectors)
+	result := c.Deliver(t.Context(), d)
+	require.Equal(t, 90, result.Answered)
+	require.Zero(t, collectors[0].deliverer.cancelled.Load())
+}
