collector: Pass over a collector that has not answered for 0.2 s

Cause: the choice by rank does not look at what is in flight, so an entry sent each of its requests to a frozen collector until its silence showed (0.8 s); before, requests in flight steered it to the other one. Change: a shard goes to its next collector, which is prepared for it, while the first one has a request older than 0.2 s unanswered. Test: TestProofStalledCollectorGetsNoShards failed before.

--- a/collector/spread.go
+++ b/collector/spread.go
@@ -12,6 +12,10 @@
 	"samphirepass/policy"
 )
 
+// spreadStallMs is the age of an unanswered request above which a shard goes to its next collector. It is longer than the time of partial
+// answers.
+const spreadStallMs samphirepass.Millis = 200
+
 // preparedPerDataCentre is the number of collectors of a data centre that hold connections to the leaves of a shard: the one that gets the
 // requests to it, and the one that gets them if the first one fails.
 const preparedPerDataCentre = 2
@@ -56,7 +60,8 @@
 	all := c.collectorsIn(p.DataCentre, offers)
 	c.mu.Lock()
 	for _, offer := range all {
-		if offer.Address == c.opts.Address || policy.CollectorUsable(c.candidateLocked(offer)) {
+		candidate := c.candidateLocked(offer)
+		if offer.Address == c.opts.Address || (policy.CollectorUsable(candidate) && candidate.OldestInFlightMs <= spreadStallMs) {
 			usable = append(usable, offer)
 		}
 	}
--- a/collector/spread_test.go
+++ b/collector/spread_test.go
@@ -135,3 +135,19 @@
 	require.Equal(t, 90, result.Answered)
 	require.Zero(t, collectors[0].deliverer.cancelled.Load())
 }
+
+// TestProofStalledCollectorGetsNoShards guards against each request of an entry being sent to a collector that has stalled, until its
+// silence shows.
+func TestProofStalledCollectorGetsNoShards(t *testing.T) {
+	collectors := []*testCollector{startCollector(t, 0), startCollector(t, 0), startCollector(t, 900*time.Millisecond)}
+	d := largeDelivery(90)
+	c, _ := startEntryForSpread(t, d, collectors)
+	first := make(chan int)
+	go func() { first <- c.Deliver(t.Context(), d).Answered }()
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	require.Equal(t, 90, c.Deliver(t.Context(), d).Answered)
+	require.Less(t, time.Since(began), 100*time.Millisecond)
+	require.Len(t, collectors[2].deliverer.calls(), 1)
+	require.Equal(t, 90, <-first)
+}
