--- /dev/null
+++ b/collector/parts.go
@@ -0,0 +1,181 @@
+package collector
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"samphirepass"
+	"samphirepass/directory"
+	"samphirepass/gateway"
+	"samphirepass/leaf"
+	"samphirepass/policy"
+)
+
+// mergePartsMs is the part of the time until a partial answer that is kept for reading and merging the answers of several collectors.
+const mergePartsMs samphirepass.Millis = 5
+
+// restDelayMs is how long after the time of the partial answer the rest of the parts is asked for although some have not reported: a
+// collector goes on without that for restTimeoutMs.
+const restDelayMs = restTimeoutMs / 4
+
+// restFunc waits for the complete result of a delivery of which the answers so far are known.
+type restFunc func(context.Context) leaf.DeliveryResult
+
+// partDelivery returns the delivery of a part of the shards. Of the whole request allowed shards may be missing; due is the share of them
+// that may be missing from this part before it waits for the others.
+func partDelivery(d leaf.Delivery, p part, allowed, due int) leaf.Delivery {
+	delivery := d
+	delivery.Shards = make([]samphirepass.Service, len(p.Shards))
+	for i, shard := range p.Shards {
+		delivery.Shards[i] = d.Shards[shard]
+	}
+	delivery.Route.ShardServices = delivery.Shards
+	delivery.MinShards = max(len(delivery.Shards)-allowed, 1)
+	delivery.DueShards = max(len(delivery.Shards)-due, 1)
+	return delivery
+}
+
+// partEvent reports what is known of a part.
+type partEvent struct {
+	part   int
+	result leaf.DeliveryResult
+	// final is unset while leaves may still answer.
+	final bool
+}
+
+// partGather is one request whose parts are collected at once. The parts together may lack as many shards as the request; which part
+// lacks them does not matter.
+type partGather struct {
+	delivery leaf.Delivery
+	parts    []part
+	allowed  int
+	events   chan partEvent
+	// needRest is closed once the answers so far are too few.
+	needRest chan struct{}
+
+	results []leaf.DeliveryResult
+	// reported marks the parts with answers so far, final those with a complete result.
+	reported, final []bool
+}
+
+// gatherParts delivers the parts and returns once enough shards have answered, or too many cannot answer any more.
+func (c *Client) gatherParts(ctx context.Context, d leaf.Delivery, parts []part, dataCentres [][]samphirepass.DataCentre, offers []directory.CollectorOffer) leaf.DeliveryResult {
+	if d.PartialAfterMs > 0 {
+		d.PartialAfterMs = max(d.PartialAfterMs-mergePartsMs, 1)
+	}
+	g := &partGather{
+		delivery: d, parts: parts, allowed: len(d.Shards) - d.RequiredShards(), events: make(chan partEvent, 2*len(parts)), needRest: make(chan struct{}),
+		results: make([]leaf.DeliveryResult, len(parts)), reported: make([]bool, len(parts)), final: make([]bool, len(parts)),
+	}
+	shardParts := make([]samphirepass.ShardPart, len(parts))
+	for i, p := range parts {
+		shardParts[i] = p.ShardPart
+	}
+	due := policy.SplitMissingAllowance(g.allowed, shardParts)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for i, p := range parts {
+		go func() {
+			delivery := partDelivery(d, p, g.allowed, due[i])
+			delivery.OnPartial = func(result leaf.DeliveryResult) {
+				if result.Answered >= result.RequiredShards {
+					result.Merged = gateway.MergeReplies(delivery, result)
+				}
+				g.events <- partEvent{part: i, result: result}
+			}
+			result, rest := c.deliverPart(ctx, delivery, p, dataCentres, offers)
+			if rest != nil {
+				g.events <- partEvent{part: i, result: result}
+				select {
+				case <-g.needRest:
+					result = rest(ctx)
+				case <-ctx.Done():
+				}
+			}
+			g.events <- partEvent{part: i, result: result, final: true}
+		}()
+	}
+	return g.wait()
+}
+
+// wait handles events until the request is answered or has failed. Every part reports at the latest when its context ends.
+func (g *partGather) wait() leaf.DeliveryResult {
+	var late, overdue <-chan time.Time
+	if after := g.delivery.PartialAfterMs + roundTripMs; g.delivery.PartialAfterMs > 0 {
+		lateTimer, overdueTimer := time.NewTimer(after.Duration()), time.NewTimer((after + restDelayMs).Duration())
+		defer lateTimer.Stop()
+		defer overdueTimer.Stop()
+		late, overdue = lateTimer.C, overdueTimer.C
+	}
+	isLate, isOverdue, askedRest := false, false, false
+	for {
+		select {
+		case e := <-g.events:
+			g.results[e.part], g.reported[e.part], g.final[e.part] = e.result, true, e.final
+		case <-late:
+			isLate = true
+		case <-overdue:
+			isOverdue = true
+		}
+		complete := !slices.Contains(g.final, false)
+		switch {
+		case complete, g.missing(g.final, 0) > g.allowed:
+			return g.combine()
+		case isLate && g.missing(g.reported, 1) <= g.allowed:
+			return g.combine()
+		case isLate && !askedRest && (isOverdue || !slices.Contains(g.reported, false)):
+			close(g.needRest)
+			askedRest = true
+		}
+	}
+}
+
+// missing returns the number of shards that the selected parts lack, and unknown times the shards of the others.
+func (g *partGather) missing(selected []bool, unknown int) int {
+	n := 0
+	for i, p := range g.parts {
+		switch {
+		case !selected[i]:
+			n += unknown * len(p.Shards)
+		case g.results[i].Merged == nil:
+			n += len(p.Shards)
+		default:
+			n += len(p.Shards) - g.results[i].Answered
+		}
+	}
+	return n
+}
+
+// combine merges the results of the parts. There is no answer if more shards are missing than may be.
+func (g *partGather) combine() leaf.DeliveryResult {
+	d := g.delivery
+	combined := leaf.DeliveryResult{RequiredShards: d.RequiredShards()}
+	var merged []*samphirepass.MergedAnswer
+	for i, r := range g.results {
+		combined.MaybeRun = combined.MaybeRun || r.MaybeRun || r.Answered > 0 || !g.final[i]
+		combined.KnownShards += r.KnownShards
+		combined.Extra += r.Extra
+		combined.Skipped += r.Skipped
+		combined.Attempts += r.Attempts
+		combined.CrossCentreAttempts += r.CrossCentreAttempts
+		combined.RetryAfterMs = max(combined.RetryAfterMs, r.RetryAfterMs)
+		combined.HalfAnsweredMs = max(combined.HalfAnsweredMs, r.HalfAnsweredMs)
+		combined.Shed = combined.Shed || r.Shed
+		if r.LastErr != nil {
+			combined.LastErr, combined.LastLeaf = r.LastErr, r.LastLeaf
+		}
+		if r.Merged != nil {
+			combined.Answered += r.Answered
+			merged = append(merged, r.Merged)
+		}
+	}
+	if combined.Answered > 0 && combined.Answered >= combined.RequiredShards {
+		combined.Merged = gateway.MergeParts(d.Route.TopK, merged)
+		combined.Merged.Missing = len(d.Shards) - combined.Answered
+	} else {
+		// The parts that arrived cannot be used without the others.
+		combined.Answered = 0
+	}
+	return combined
+}
