--- a/collector/spread.go
+++ b/collector/spread.go
@@ -8,10 +8,6 @@
 	"samphirepass/policy"
 )
 
-// spreadStallMs is the age of an unanswered request above which a shard goes to its next collector. It is longer than the time of partial
-// answers.
-const spreadStallMs samphirepass.Millis = 200
-
 // preparedPerDataCentre is the number of collectors of a data centre that hold connections to the leaves of a shard: the one that gets the
 // requests to it, and the one that gets them if the first one fails.
 const preparedPerDataCentre = 2
@@ -46,8 +42,7 @@
 	all := c.collectorsIn(p.DataCentre, offers)
 	c.mu.Lock()
 	for _, offer := range all {
-		candidate := c.candidateLocked(offer)
-		if offer.Address == c.opts.Address || (policy.CollectorUsable(candidate) && candidate.OldestInFlightMs <= spreadStallMs) {
+		if offer.Address == c.opts.Address || policy.CollectorUsable(c.candidateLocked(offer)) {
 			usable = append(usable, offer)
 		}
 	}
