--- a/collector/parts.go
+++ b/collector/parts.go
@@ -15,10 +15,6 @@
 // mergePartsMs is the part of the time until a partial answer that is kept for reading and merging the answers of several collectors.
 const mergePartsMs samphirepass.Millis = 5
 
-// restDelayMs is how long after the time of the partial answer the rest of the parts is asked for although some have not reported: a
-// collector goes on without that for restTimeoutMs.
-const restDelayMs = restTimeoutMs / 4
-
 // restFunc waits for the complete result of a delivery of which the answers so far are known.
 type restFunc func(context.Context) leaf.DeliveryResult
 
@@ -101,22 +97,19 @@
 
 // wait handles events until the request is answered or has failed. Every part reports at the latest when its context ends.
 func (g *partGather) wait() leaf.DeliveryResult {
-	var late, overdue <-chan time.Time
-	if after := g.delivery.PartialAfterMs + roundTripMs; g.delivery.PartialAfterMs > 0 {
-		lateTimer, overdueTimer := time.NewTimer(after.Duration()), time.NewTimer((after + restDelayMs).Duration())
-		defer lateTimer.Stop()
-		defer overdueTimer.Stop()
-		late, overdue = lateTimer.C, overdueTimer.C
+	var late <-chan time.Time
+	if g.delivery.PartialAfterMs > 0 {
+		t := time.NewTimer((g.delivery.PartialAfterMs + roundTripMs).Duration())
+		defer t.Stop()
+		late = t.C
 	}
-	isLate, isOverdue, askedRest := false, false, false
+	isLate, askedRest := false, false
 	for {
 		select {
 		case e := <-g.events:
 			g.results[e.part], g.reported[e.part], g.final[e.part] = e.result, true, e.final
 		case <-late:
 			isLate = true
-		case <-overdue:
-			isOverdue = true
 		}
 		complete := !slices.Contains(g.final, false)
 		switch {
@@ -124,7 +117,7 @@
 			return g.combine()
 		case isLate && g.missing(g.reported, 1) <= g.allowed:
 			return g.combine()
-		case isLate && !askedRest && (isOverdue || !slices.Contains(g.reported, false)):
+		case isLate && !askedRest && !slices.Contains(g.reported, false):
 			close(g.needRest)
 			askedRest = true
 		}
