collector, policy: Log the load of collectors and the condition in which entries see them

The logs did not say whether collectors were short of processor time, or entries avoided them, and why: the hypotheses in the postmortem could not be told apart.

A collector now logs its load once a second, an entry each change of the condition in which it sees a collector, and a request that is not served the number of its parts and of those without a usable answer. No decision changes.

--- a/collector.go
+++ b/collector.go
@@ -34,6 +34,20 @@
 	SinceFailureMs Millis
 }
 
+// CollectorCondition says whether an entry may send requests to a collector.
+type CollectorCondition string
+
+// Conditions of a collector.
+const (
+	CollectorUsable       CollectorCondition = "usable"
+	CollectorDisconnected CollectorCondition = "disconnected"
+	CollectorSilent       CollectorCondition = "silent"
+	// CollectorStalled means that an answer is long overdue although the collector still sends frames.
+	CollectorStalled CollectorCondition = "stalled"
+	// CollectorFailed means that a request has just failed or was refused.
+	CollectorFailed CollectorCondition = "failed"
+)
+
 // ShardPart is a subset of a request's shards that one entry collects.
 type ShardPart struct {
 	// DataCentre is where the shards are collected, empty if no data centre with a collector has a leaf of any of them.
--- a/collector/client.go
+++ b/collector/client.go
@@ -80,6 +80,8 @@
 	collectors map[string]*collectorState
 	// degradedUntil holds the time until which a shard is not collected in a data centre.
 	degradedUntil map[shardLocation]samphirepass.Millis
+	// conditions holds the condition in which each offered collector was last seen.
+	conditions map[string]samphirepass.CollectorCondition
 }
 
 // shardLocation is a shard together with the data centre of some of its leaves.
@@ -90,7 +92,7 @@
 
 // NewClient returns a client that has not used any collector yet.
 func NewClient(opts Options) *Client {
-	return &Client{opts: opts, collectors: map[string]*collectorState{}, degradedUntil: map[shardLocation]samphirepass.Millis{}}
+	return &Client{opts: opts, collectors: map[string]*collectorState{}, degradedUntil: map[shardLocation]samphirepass.Millis{}, conditions: map[string]samphirepass.CollectorCondition{}}
 }
 
 // Covered returns the number of shards with at least one eligible leaf.
@@ -126,6 +128,7 @@
 	for {
 		c.connect()
 		c.removeExpired()
+		c.logConditions()
 		select {
 		case <-t.C:
 		case <-ctx.Done():
--- a/collector/parts.go
+++ b/collector/parts.go
@@ -143,7 +143,7 @@
 // combine merges the results of the parts. There is no answer if more shards are missing than may be.
 func (g *partGather) combine() leaf.DeliveryResult {
 	d := g.delivery
-	combined := leaf.DeliveryResult{RequiredShards: d.RequiredShards()}
+	combined := leaf.DeliveryResult{RequiredShards: d.RequiredShards(), Parts: len(g.parts)}
 	var merged []*samphirepass.MergedAnswer
 	for i, r := range g.results {
 		combined.MaybeRun = combined.MaybeRun || r.MaybeRun || r.Answered > 0 || !g.final[i]
@@ -161,6 +161,8 @@
 		if r.Merged != nil {
 			combined.Answered += r.Answered
 			merged = append(merged, r.Merged)
+		} else {
+			combined.FailedParts++
 		}
 	}
 	if combined.Answered > 0 && combined.Answered >= combined.RequiredShards {
--- a/collector/server.go
+++ b/collector/server.go
@@ -29,6 +29,7 @@
 	metrics   *metrics.Metrics
 	log       logs.Logger
 	inFlight  atomic.Int64
+	load      loadReport
 
 	mu sync.Mutex
 	// unfinished holds the deliveries of which the answers so far were returned, by the numbers in those replies.
@@ -66,6 +67,7 @@
 	inFlight := s.inFlight.Add(1)
 	if inFlight > maxInFlight {
 		s.inFlight.Add(-1)
+		s.load.addRefused()
 		s.log.RequestEvent("Collect request refused.", "request", d.Request.ID, "running", inFlight, "limit", maxInFlight)
 		return collectReply{}, samphirepass.Refuse(samphirepass.CodeOverloaded, "%d requests are being collected", inFlight)
 	}
@@ -108,6 +110,7 @@
 	result := s.deliverer.Deliver(ctx, d)
 	reply = newCollectReply(d, result)
 	s.observeStages(transit, result.Timing)
+	s.load.add(len(d.Shards), inFlight, transit, result)
 	s.log.RequestEvent("Request collected.", "request", d.Request.ID, "route", d.Route.Name, "shards", len(d.Shards),
 		"answered", result.Answered, "attempts", result.Attempts, "extra", result.Extra, "skipped", result.Skipped, "far", result.CrossCentreAttempts, "poor", len(result.DegradedShards), "last-leaf", result.LastLeaf, "last-error", reply.LastError,
 		"running", inFlight, "transit-ms", int(transit), "start-ms", int(result.Timing.StartMs), "send-wait-ms", int(result.Timing.SendWaitMs),
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -238,6 +238,7 @@
 	})
 	if g.peerHTTP != nil {
 		supervisor.Add(namedService{g.peerHTTP, "peer server"})
+		supervisor.Add(namedService{g.collectorServer, "collector server"})
 	}
 	supervisorDone := supervisor.ServeBackground(serveCtx)
 	log.Event("Started.", "front", g.clientServer.Address(), "ready", g.readinessServer.Address(), "seeds", g.cfg.Seeds)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -307,7 +307,7 @@
 	if refusal != nil {
 		d.opts.Log.RequestEvent("Request not served.", "request", delivery.Request.ID, "route", delivery.Route.Name, "routing", router.routing.Version,
 			"code", refusal.Code, "reason", refusal.Message, "not-run", refusal.NotRun, "shards", len(delivery.Shards), "known", result.KnownShards,
-			"answered", result.Answered, "attempts", result.Attempts, "allowed", delivery.Route.MaxAttempts, "kind", delivery.Route.Kind, "extra", result.Extra, "deadline-ms", int(delivery.Request.DeadlineMs), "took-ms", int(elapsed),
+			"answered", result.Answered, "parts", result.Parts, "failed-parts", result.FailedParts, "attempts", result.Attempts, "allowed", delivery.Route.MaxAttempts, "kind", delivery.Route.Kind, "extra", result.Extra, "deadline-ms", int(delivery.Request.DeadlineMs), "took-ms", int(elapsed),
 			"last-leaf", result.LastLeaf, "last-error", errorText(result.LastErr))
 		return
 	}
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -79,6 +79,8 @@
 	// Extra counts the hedges and retries, Attempts all leaf requests. An attempt that caused no load and its replacement
 	// count as one.
 	Extra, Attempts int
+	// Parts is the number of parts that several entries delivered, FailedParts those of them without a usable answer.
+	Parts, FailedParts int
 	// Skipped counts the shards that were left out from the start because their leaves are overloaded, and not asked later.
 	Skipped int
 	// DegradedShards are the indices of shards for which leaves in other data centres are preferred,
--- a/policy/collect.go
+++ b/policy/collect.go
@@ -26,9 +26,24 @@
 	inFlightCost = 0.5
 )
 
+// CollectorCondition returns whether a request may be sent to a collector now, or else why not.
+func CollectorCondition(c samphirepass.CollectorCandidate) samphirepass.CollectorCondition {
+	switch {
+	case !c.Connected:
+		return samphirepass.CollectorDisconnected
+	case c.SilentMs > CollectorSilenceMs:
+		return samphirepass.CollectorSilent
+	case c.OldestInFlightMs > collectorStallMs:
+		return samphirepass.CollectorStalled
+	case c.SinceFailureMs < collectorCooldownMs:
+		return samphirepass.CollectorFailed
+	}
+	return samphirepass.CollectorUsable
+}
+
 // CollectorUsable reports whether a request may be sent to a collector now.
 func CollectorUsable(c samphirepass.CollectorCandidate) bool {
-	return c.Connected && c.OldestInFlightMs <= collectorStallMs && c.SilentMs <= CollectorSilenceMs && c.SinceFailureMs >= collectorCooldownMs
+	return CollectorCondition(c) == samphirepass.CollectorUsable
 }
 
 // ChooseCollector returns the index of the best candidate to collect a scatter-gather request,
