collector, directory: Tests of how collectors bear load, failing

From second 8 on clients repeat the failed requests, 43,000 attempts a second go to leaves in place of 18,000, and all collectors are late.

TestProofCollectorsBearTheBusiestSecond: 46 entries of a data centre have too few collectors for the busiest second. TestProofSlowCollectorCostsNoRequest: one slow collector of twelve fails or delays requests.

--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -42,14 +42,21 @@
 	deliveries []leaf.Delivery
 }
 
+func (d *fakeDeliverer) setWait(wait time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.wait = wait
+}
+
 func (d *fakeDeliverer) Covered(shards []samphirepass.Service) int { return len(shards) }
 
 func (d *fakeDeliverer) Deliver(ctx context.Context, delivery leaf.Delivery) leaf.DeliveryResult {
 	d.mu.Lock()
 	d.deliveries = append(d.deliveries, delivery)
+	wait := d.wait
 	d.mu.Unlock()
 	select {
-	case <-time.After(d.wait):
+	case <-time.After(wait):
 	case <-ctx.Done():
 		d.cancelled.Add(1)
 		return leaf.DeliveryResult{RequiredShards: delivery.RequiredShards(), MaybeRun: true}
--- a/collector/spread_test.go
+++ b/collector/spread_test.go
@@ -124,6 +124,26 @@
 	require.Equal(t, 90-len(collectors[2].deliverer.calls()[0].Shards), result.Answered)
 }
 
+// TestProofSlowCollectorCostsNoRequest guards against requests that need every collector: one that is slow or lost would fail all of them.
+func TestProofSlowCollectorCostsNoRequest(t *testing.T) {
+	var collectors []*testCollector
+	for range 12 {
+		collectors = append(collectors, startCollector(t, 0))
+	}
+	d := largeDelivery(135)
+	c, _ := startEntryForSpread(t, d, collectors)
+	for _, slow := range collectors {
+		slow.deliverer.setWait(400 * time.Millisecond)
+		began := time.Now()
+		result := c.Deliver(t.Context(), d)
+		require.Less(t, time.Since(began), 300*time.Millisecond)
+		require.GreaterOrEqual(t, result.Answered, d.RequiredShards())
+		require.Less(t, result.Answered, 135, "each collector has a part")
+		time.Sleep(500 * time.Millisecond)
+		slow.deliverer.setWait(0)
+	}
+}
+
 // TestProofRestIsAskedForInTime guards against the loss of a part that its collector has given up, as nobody asked for the rest while
 // another collector had not reported.
 func TestProofRestIsAskedForInTime(t *testing.T) {
--- a/directory/offers_test.go
+++ b/directory/offers_test.go
@@ -119,6 +119,29 @@
 	}
 }
 
+// TestProofCollectorsBearTheBusiestSecond guards against collectors that are short of processors while the other entries are idle: all
+// requests then end late, their clients repeat them, and the overload outlasts its cause.
+func TestProofCollectorsBearTheBusiestSecond(t *testing.T) {
+	const (
+		entries, largeCores, smallCores = 46, 0.512, 0.192
+		// 1.6 times the usual 106 requests a second over 135 shards, of which a data centre takes a sixth, at 0.2 ms for each leaf.
+		busiestCores = 1.6 * 106 * 135 / 6 * 0.0002
+	)
+	sources := startSources(t, 1)
+	large := startEntryWithCapacity(t, "1", largeCores, sources)
+	for i := range entries - 1 {
+		startEntryWithCapacity(t, fmt.Sprint(i+2), smallCores, sources)
+	}
+	eventually(t, 15*time.Second, func() bool { return large.EntryCount() == entries }, "all entries are known")
+	eventually(t, 15*time.Second, func() bool {
+		cores := largeCores
+		for _, offer := range large.Offers() {
+			cores += offer.Capacity.Cores
+		}
+		return cores >= 2*busiestCores
+	}, "the collectors are half idle in the busiest second")
+}
+
 // TestEqualEntriesCollect has no entry that is larger than another: several of many collect, but never a single one for all.
 func TestEqualEntriesCollect(t *testing.T) {
 	tests := map[string]struct{ entries, collectors int }{
