--- a/control/full_disk_test.go
+++ b/control/full_disk_test.go
@@ -90,7 +90,7 @@
 // TestProofDisksFullInTurn guards against changes that are refused or unanswered long after the disks of the members, full one after
 // another, have room again.
 func TestProofDisksFullInTurn(t *testing.T) {
-	const ackMs = 5 * time.Second
+	const ackTimeout = 5 * time.Second
 	ports, addresses := holdPorts(t, 4)
 	var disks []*fillingFolder
 	for i, p := range ports {
@@ -106,7 +106,7 @@
 	changes := 0
 	change := func() error {
 		changes++
-		ctx, cancel := context.WithTimeout(t.Context(), ackMs)
+		ctx, cancel := context.WithTimeout(t.Context(), ackTimeout)
 		defer cancel()
 		spec := json.RawMessage(fmt.Sprintf(`{"n":%d}`, changes))
 		change := samphirepass.Change{ID: samphirepass.ChangeID(fmt.Sprint("c", changes)), Kind: samphirepass.KindCaller, Name: fmt.Sprint("n", changes), Spec: spec}
