directory: Select one collector for every four entries of a data centre

Each part was larger than what a request may lack, so one late collector failed all requests, and their clients doubled the load by asking again.

--- a/directory/offers.go
+++ b/directory/offers.go
@@ -10,8 +10,8 @@
 )
 
 // entriesPerCollector is the number of entries of a data centre for each collector there. With fewer collectors their processors limit
-// the requests over many shards, with more of them each has to keep connections to more leaves and entries.
-const entriesPerCollector = 12
+// the requests over many shards, and the loss of one fails requests; with more of them a request is sent in more messages.
+const entriesPerCollector = 4
 
 // deselectionDelayMs is how long an entry stays prepared for the requests of others after it was last selected to collect: others learn
 // later that it is not selected any more.
