collector, policy: Give each collector equal numbers of shards

Callers got 502 or late answers whenever one collector was late: a collector was in charge of shards in proportion to its cores, so that those with a disk and a registrar beside, which faults strike most, had 2.7 times the part of others, more than a request may lack.

Each collector is in charge of at most 1.1 times the mean number of shards, whatever its cores.

--- a/collector/client.go
+++ b/collector/client.go
@@ -73,8 +73,9 @@
 // Client forwards scatter-gather requests to collectors and delivers all others itself. It implements gateway.Deliverer and is safe for
 // concurrent use.
 type Client struct {
-	opts     Options
-	snapshot atomic.Pointer[offerSnapshot]
+	opts        Options
+	snapshot    atomic.Pointer[offerSnapshot]
+	assignments assignmentCache
 
 	mu         sync.Mutex
 	collectors map[string]*collectorState
--- a/collector/split.go
+++ b/collector/split.go
@@ -65,6 +65,8 @@
 	offers []directory.CollectorOffer
 	// own holds the collectors in this entry's own data centre, this entry among them if it collects.
 	own []directory.CollectorOffer
+	// inCharge holds the shards of which this entry is in charge in its data centre.
+	inCharge map[samphirepass.Service]bool
 	// dataCentres is the number of data centres with collectors.
 	dataCentres int
 }
@@ -81,11 +83,32 @@
 	}
 	slices.SortFunc(s.offers, func(a, b directory.CollectorOffer) int { return cmp.Compare(hash(a), hash(b)) })
 	s.own = c.collectorsIn(c.opts.DataCentre, s.offers)
+	s.inCharge = c.shardsInCharge(s.own)
 	s.dataCentres = len(c.offerDataCentres(append(slices.Clone(s.own), s.offers...)))
 	c.snapshot.Store(s)
 	return s
 }
 
+// shardsInCharge returns the shards of all routes of which this entry is in charge among the collectors of its data centre.
+func (c *Client) shardsInCharge(collectors []directory.CollectorOffer) map[samphirepass.Service]bool {
+	own := slices.IndexFunc(collectors, func(offer directory.CollectorOffer) bool { return offer.Address == c.opts.Address })
+	if own < 0 || c.opts.Shards == nil {
+		return nil
+	}
+	shards := c.opts.Shards()
+	addresses := make([]string, len(collectors))
+	for i, offer := range collectors {
+		addresses[i] = offer.Address
+	}
+	inCharge := map[samphirepass.Service]bool{}
+	for i, assigned := range policy.AssignShards(shards, addresses) {
+		if assigned == own {
+			inCharge[shards[i]] = true
+		}
+	}
+	return inCharge
+}
+
 // usableOffers returns the collectors that this entry may use for a request to n shards: those in other data centres, and those in its
 // own if they are much larger than itself or several of them share the request.
 func (c *Client) usableOffers(n int) []directory.CollectorOffer {
--- a/collector/spread.go
+++ b/collector/spread.go
@@ -2,6 +2,9 @@
 
 import (
 	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
 
 	"samphirepass"
 	"samphirepass/directory"
@@ -54,18 +57,51 @@
 	for i, offer := range usable {
 		parts[i] = part{ShardPart: samphirepass.ShardPart{DataCentre: p.DataCentre}, spread: true, collector: offer, local: offer.Address == c.opts.Address}
 	}
+	assigned := c.assignments.of(shards, usable)
 	for _, shard := range p.Shards {
-		best, highest := 0, -1.0
-		for i, offer := range usable {
-			if rank := policy.CollectorRank(shards[shard], offer.Address, offer.Capacity.Cores); rank > highest {
-				best, highest = i, rank
-			}
-		}
-		parts[best].Shards = append(parts[best].Shards, shard)
+		parts[assigned[shard]].Shards = append(parts[assigned[shard]].Shards, shard)
 	}
 	return slices.DeleteFunc(parts, func(p part) bool { return len(p.Shards) == 0 })
 }
 
+// maxAssignments bounds the assignments that are kept: those of a few routes to the collectors of a few data centres.
+const maxAssignments = 32
+
+// assignmentCache keeps the latest results of policy.AssignShards, which takes long compared with sending a request.
+type assignmentCache struct {
+	mu      sync.Mutex
+	entries map[assignmentKey][]int
+}
+
+// assignmentKey identifies a list of shards, which the routing document in force holds, and a list of collectors.
+type assignmentKey struct {
+	first      *samphirepass.Service
+	n          int
+	collectors uint64
+}
+
+// of returns the index of the collector in charge of each shard.
+func (a *assignmentCache) of(shards []samphirepass.Service, collectors []directory.CollectorOffer) []int {
+	addresses := make([]string, len(collectors))
+	d := xxhash.New()
+	for i, offer := range collectors {
+		addresses[i] = offer.Address
+		// Writing to a hash cannot fail.
+		_, _ = d.WriteString(offer.Address + "\x00")
+	}
+	key := assignmentKey{first: &shards[0], n: len(shards), collectors: d.Sum64()}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if assigned, ok := a.entries[key]; ok {
+		return assigned
+	}
+	if len(a.entries) >= maxAssignments || a.entries == nil {
+		a.entries = map[assignmentKey][]int{}
+	}
+	a.entries[key] = policy.AssignShards(shards, addresses)
+	return a.entries[key]
+}
+
 // ShardUse says how many collectors send requests to the leaves of a shard.
 type ShardUse struct {
 	// Active is the number of collectors that usually send, Prepared the number of those that may.
@@ -82,15 +118,15 @@
 	}
 	return ShardUse{
 		Active: known.dataCentres, Prepared: known.dataCentres * preparedPerDataCentre,
-		Own: c.opts.Collecting != nil && c.opts.Collecting() && c.ownRank(s, known.own) < preparedPerDataCentre,
+		Own: c.opts.Collecting != nil && c.opts.Collecting() && (known.inCharge[s] || c.ownRank(s, known.own) < preparedPerDataCentre),
 	}, true
 }
 
 // ownRank returns how many of the collectors suit a shard better than this entry.
 func (c *Client) ownRank(s samphirepass.Service, collectors []directory.CollectorOffer) int {
-	own, better := policy.CollectorRank(s, c.opts.Address, c.opts.Capacity.Cores), 0
+	own, better := policy.CollectorRank(s, c.opts.Address), 0
 	for _, offer := range collectors {
-		if offer.Address != c.opts.Address && policy.CollectorRank(s, offer.Address, offer.Capacity.Cores) > own {
+		if offer.Address != c.opts.Address && policy.CollectorRank(s, offer.Address) > own {
 			better++
 		}
 	}
