--- a/collector/client.go
+++ b/collector/client.go
@@ -299,6 +299,10 @@
 	began := c.opts.Clock.Now()
 	var reply collectReply
 	if err := c.opts.Peers.Get(address).Call(ctx, kindCollectRest, collectRestRequest{Unfinished: partial.Unfinished}, &reply); err != nil {
+		if ctx.Err() != nil {
+			// The request has ended without it.
+			return partial.result()
+		}
 		c.opts.Log.RequestEvent("Rest of a collect request failed.", "request", id, "collector", address, "took-ms", int(c.opts.Clock.Now()-began), "reason", err.Error())
 		return partial.result()
 	}
--- a/collector/parts.go
+++ b/collector/parts.go
@@ -15,6 +15,10 @@
 // mergePartsMs is the part of the time until a partial answer that is kept for reading and merging the answers of several collectors.
 const mergePartsMs samphirepass.Millis = 5
 
+// askRestAfterMs is how long after the answers of a part so far the rest is asked for, unless the request has ended. Most requests end as
+// soon as all parts have reported; waiting for a slow one longer than restTimeoutMs would lose the others.
+const askRestAfterMs samphirepass.Millis = restTimeoutMs / 4
+
 // restFunc waits for the complete result of a delivery of which the answers so far are known.
 type restFunc func(context.Context) leaf.DeliveryResult
 
@@ -83,11 +87,15 @@
 			result, rest := c.deliverPart(ctx, delivery, p, dataCentres, offers)
 			if rest != nil {
 				g.events <- partEvent{part: i, result: result}
+				ask := time.NewTimer(askRestAfterMs.Duration())
 				select {
 				case <-g.needRest:
 					result = rest(ctx)
+				case <-ask.C:
+					result = rest(ctx)
 				case <-ctx.Done():
 				}
+				ask.Stop()
 			}
 			g.events <- partEvent{part: i, result: result, final: true}
 		}()
