collector, policy: Keep overload from ending on the collectors that still seem usable

A late answer or a passed deadline makes an entry avoid a collector for a second; under overload it avoided most, sent whole requests to the one that was left or asked all leaves itself without connections to them.

If most collectors of a data centre that send frames seem stalled or failed, none is avoided for that. TestProofOverloadStaysSpread failed before (the entry delivered the request itself), TestUsableCollectors is new.

--- a/collector/split.go
+++ b/collector/split.go
@@ -34,15 +34,13 @@
 // splitShards splits a request's shards by the data centres in which they are collected. If a data centre that suits best has no usable
 // collector, the next best one takes its part.
 func (c *Client) splitShards(dataCentres [][]samphirepass.DataCentre, offers []directory.CollectorOffer) []samphirepass.ShardPart {
+	all := c.offerDataCentres(offers)
 	var usableOffers []directory.CollectorOffer
-	c.mu.Lock()
-	for _, offer := range offers {
-		if policy.CollectorUsable(c.candidateLocked(offer)) {
-			usableOffers = append(usableOffers, offer)
-		}
+	for _, dataCentre := range all {
+		inDataCentre := slices.DeleteFunc(slices.Clone(offers), func(offer directory.CollectorOffer) bool { return offer.DataCentre != dataCentre })
+		usableOffers = append(usableOffers, c.usableCollectors(inDataCentre)...)
 	}
-	c.mu.Unlock()
-	all, usable := c.offerDataCentres(offers), c.offerDataCentres(usableOffers)
+	usable := c.offerDataCentres(usableOffers)
 	for range maxSplits {
 		parts := policy.SplitShards(dataCentres, c.opts.DataCentre, all)
 		isUnusable := func(dataCentre samphirepass.DataCentre) bool {
--- a/collector/spread.go
+++ b/collector/spread.go
@@ -39,17 +39,31 @@
 	return collectors
 }
 
-// spreadPart divides the part of a data centre among its usable collectors, if the request has enough shards.
-func (c *Client) spreadPart(p samphirepass.ShardPart, shards []samphirepass.Service, offers []directory.CollectorOffer) []part {
-	var usable []directory.CollectorOffer
-	all := c.collectorsIn(p.DataCentre, offers)
+// usableCollectors returns those of the collectors of a data centre to which requests may be sent now. This entry always is one of them if
+// it is among them at all.
+func (c *Client) usableCollectors(collectors []directory.CollectorOffer) []directory.CollectorOffer {
+	candidates := make([]samphirepass.CollectorCandidate, len(collectors))
 	c.mu.Lock()
-	for _, offer := range all {
-		if offer.Address == c.opts.Address || policy.CollectorUsable(c.candidateLocked(offer)) {
-			usable = append(usable, offer)
+	for i, offer := range collectors {
+		if offer.Address == c.opts.Address {
+			candidates[i] = samphirepass.CollectorCandidate{Address: offer.Address, Connected: true, SinceFailureMs: neverMs}
+			continue
 		}
+		candidates[i] = c.candidateLocked(offer)
 	}
 	c.mu.Unlock()
+	var usable []directory.CollectorOffer
+	for i, ok := range policy.UsableCollectors(candidates) {
+		if ok {
+			usable = append(usable, collectors[i])
+		}
+	}
+	return usable
+}
+
+// spreadPart divides the part of a data centre among its usable collectors, if the request has enough shards.
+func (c *Client) spreadPart(p samphirepass.ShardPart, shards []samphirepass.Service, offers []directory.CollectorOffer) []part {
+	usable := c.usableCollectors(c.collectorsIn(p.DataCentre, offers))
 	if !policy.SpreadsRequest(len(shards), len(usable)) {
 		return []part{{ShardPart: p}}
 	}
--- a/collector/spread_test.go
+++ b/collector/spread_test.go
@@ -156,6 +156,29 @@
 	require.Zero(t, collectors[0].deliverer.cancelled.Load())
 }
 
+// TestProofOverloadStaysSpread guards against an entry that asks all leaves itself, without connections to them, because all collectors seem
+// stalled: overload then lasts.
+func TestProofOverloadStaysSpread(t *testing.T) {
+	collectors := []*testCollector{startCollector(t, 0), startCollector(t, 0), startCollector(t, 0), startCollector(t, 0)}
+	d := largeDelivery(90)
+	c, ownDeliverer := startEntryForSpread(t, d, collectors)
+	for _, tc := range collectors {
+		tc.deliverer.setWait(700 * time.Millisecond)
+	}
+	first := make(chan int)
+	go func() { first <- c.Deliver(t.Context(), d).Answered }()
+	time.Sleep(500 * time.Millisecond)
+	for _, tc := range collectors {
+		tc.deliverer.setWait(0)
+	}
+	require.Equal(t, 90, c.Deliver(t.Context(), d).Answered)
+	require.Equal(t, 90, <-first)
+	require.Empty(t, ownDeliverer.calls())
+	for _, tc := range collectors {
+		require.Len(t, tc.deliverer.calls(), 2)
+	}
+}
+
 // TestProofStalledCollectorGetsNoShards guards against each request of an entry being sent to a collector that has stalled, until its
 // silence shows.
 func TestProofStalledCollectorGetsNoShards(t *testing.T) {
--- a/policy/collect.go
+++ b/policy/collect.go
@@ -46,6 +46,28 @@
 	return CollectorCondition(c) == samphirepass.CollectorUsable
 }
 
+// UsableCollectors reports which collectors of a data centre may be sent requests now. If most of those that are connected and send frames
+// seem stalled or failed, the load is too high, not a collector broken: avoiding them would only add to the load of the others.
+func UsableCollectors(candidates []samphirepass.CollectorCandidate) []bool {
+	usable, alive := make([]bool, len(candidates)), make([]bool, len(candidates))
+	usableCount, aliveCount := 0, 0
+	for i, c := range candidates {
+		switch CollectorCondition(c) {
+		case samphirepass.CollectorUsable:
+			usable[i], alive[i] = true, true
+			usableCount++
+			aliveCount++
+		case samphirepass.CollectorStalled, samphirepass.CollectorFailed:
+			alive[i] = true
+			aliveCount++
+		}
+	}
+	if 2*usableCount < aliveCount {
+		return alive
+	}
+	return usable
+}
+
 // ChooseCollector returns the index of the best candidate to collect a scatter-gather request,
 // or -1 if no candidate is usable and this entry should collect it itself.
 func ChooseCollector(candidates []samphirepass.CollectorCandidate) int {
--- a/policy/collect_test.go
+++ b/policy/collect_test.go
@@ -44,6 +44,30 @@
 	}
 }
 
+// TestUsableCollectors guards against an overload that ends on the few collectors that still seem usable.
+func TestUsableCollectors(t *testing.T) {
+	usable := samphirepass.CollectorCandidate{Connected: true, SinceFailureMs: 1e9}
+	stalled := with(usable, func(c *samphirepass.CollectorCandidate) { c.InFlight, c.OldestInFlightMs = 1, 600 })
+	failed := with(usable, func(c *samphirepass.CollectorCandidate) { c.SinceFailureMs = 50 })
+	silent := with(usable, func(c *samphirepass.CollectorCandidate) { c.SilentMs = 1300 })
+	away := with(usable, func(c *samphirepass.CollectorCandidate) { c.Connected = false })
+	tests := map[string]struct {
+		candidates []samphirepass.CollectorCandidate
+		want       []bool
+	}{
+		"one of three is stalled": {[]samphirepass.CollectorCandidate{usable, stalled, usable}, []bool{true, false, true}},
+		"half have failed":        {[]samphirepass.CollectorCandidate{usable, failed, usable, failed}, []bool{true, false, true, false}},
+		"most are stalled":        {[]samphirepass.CollectorCandidate{usable, stalled, stalled}, []bool{true, true, true}},
+		"all are stalled":         {[]samphirepass.CollectorCandidate{stalled, failed}, []bool{true, true}},
+		"most are away":           {[]samphirepass.CollectorCandidate{usable, away, away, silent}, []bool{true, false, false, false}},
+		"stalled among the away":  {[]samphirepass.CollectorCandidate{stalled, away, silent}, []bool{true, false, false}},
+		"none":                    {nil, []bool{}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tt.want, policy.UsableCollectors(tt.candidates)) })
+	}
+}
+
 // TestCapacitySuitsOffloadFrom checks which entries are so much larger that forwarding a request to them saves time.
 func TestCapacitySuitsOffloadFrom(t *testing.T) {
 	small := samphirepass.Capacity{Cores: 0.192, LinkMbps: 14}
