--- a/collector/client.go
+++ b/collector/client.go
@@ -311,6 +311,8 @@
 
 // cancelIfSilent cancels a call once its answer is overdue and the connection is lost or silent. overdue is the time from now.
 func cancelIfSilent(ctx context.Context, cancel context.CancelFunc, peerClient *peer.Client, overdue samphirepass.Millis) {
+	clock := samphirepass.SystemClock{}
+	began := clock.Now()
 	t := time.NewTimer(overdue.Duration())
 	defer t.Stop()
 	for {
@@ -319,7 +321,8 @@
 		case <-ctx.Done():
 			return
 		}
-		if silent, connected := peerClient.SinceLastFrame(); !connected || silent > policy.CollectorSilenceMs {
+		// Before the request the collector had less reason to send frames.
+		if silent, connected := peerClient.SinceLastFrame(); !connected || min(silent, clock.Now()-began) > policy.CollectorSilenceMs {
 			cancel()
 			return
 		}
