directory: Select one collector for every six entries

Six bear the busiest second as TestProofCollectorsBearTheBusiestSecond asks, half idle, and a request goes out in fewer messages than with four.

--- a/directory/offers.go
+++ b/directory/offers.go
@@ -11,7 +11,7 @@
 
 // entriesPerCollector is the number of entries of a data centre for each collector there. With fewer collectors their processors limit
 // the requests over many shards, and the loss of one fails requests; with more of them a request is sent in more messages.
-const entriesPerCollector = 4
+const entriesPerCollector = 6
 
 // deselectionDelayMs is how long an entry stays prepared for the requests of others after it was last selected to collect: others learn
 // later that it is not selected any more.
