policy: Spread entries over data centres that suit alike

Data centres with three quarters of the most count as alike; the first in the order of the entry's hash is taken.

--- a/policy/collect.go
+++ b/policy/collect.go
@@ -22,6 +22,9 @@
 	// remoteCollectorCost is the cost of the one merged answer that a collector in another data centre sends.
 	remoteShardCost     = 4.0
 	remoteCollectorCost = 0.2
+	// similarCoverage is the share of the most shards that a data centre covers from which another one suits as well: entries that all chose
+	// the one with the most would overload its collectors.
+	similarCoverage = 0.75
 	// minPartShare is the share of a request's shards from which a message to another data centre costs less than the answers of its leaves.
 	minPartShare = 0.06
 	// inFlightCost is the cost of each request that the collector has not answered yet.
@@ -93,7 +96,7 @@
 // SplitShards splits a request's shards by the data centre in which they are collected, so that few answers of leaves cross
 // between data centres: shards with a leaf in the entry's own data centre are collected there, the others in the data centre
 // that has leaves of most of them, and so on.
-// dataCentres holds the data centres of each shard's leaves, offered the data centres that have collectors; of equal ones the first is
+// dataCentres holds the data centres of each shard's leaves, offered the data centres that have collectors; of similar ones the first is
 // used.
 func SplitShards(dataCentres [][]samphirepass.DataCentre, own samphirepass.DataCentre, offered []samphirepass.DataCentre) []samphirepass.ShardPart {
 	remaining := make([]int, len(dataCentres))
@@ -118,22 +121,19 @@
 	assign(own)
 	least := max(int(minPartShare*float64(len(dataCentres))), 1)
 	for len(remaining) > 0 {
-		best, most := samphirepass.DataCentre(""), 0
-		for _, dataCentre := range offered {
-			n := 0
+		covered, most := make([]int, len(offered)), 0
+		for i, dataCentre := range offered {
 			for _, shard := range remaining {
 				if slices.Contains(dataCentres[shard], dataCentre) {
-					n++
+					covered[i]++
 				}
 			}
-			if n > most {
-				best, most = dataCentre, n
-			}
+			most = max(most, covered[i])
 		}
 		if most == 0 || (most < least && len(parts) > 0) {
 			break
 		}
-		assign(best)
+		assign(offered[slices.IndexFunc(covered, func(n int) bool { return float64(n) >= similarCoverage*float64(most) })])
 	}
 	if len(remaining) == 0 {
 		return parts
--- a/policy/spread_test.go
+++ b/policy/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"slices"
 	"testing"
 
@@ -82,3 +83,34 @@
 	require.Len(t, parts[0].Shards, 48)
 	require.Len(t, parts[1].Shards, 42)
 }
+
+// TestSimilarDataCentresShareTheLoad guards against entries that all send the shards without a leaf nearby to the data centre that has a few
+// more of them than the others.
+func TestSimilarDataCentresShareTheLoad(t *testing.T) {
+	const shards, copies = 135, 3
+	rnd := rand.New(rand.NewSource(1))
+	all := []samphirepass.DataCentre{"a", "b", "c", "d", "e", "f"}
+	dataCentres := make([][]samphirepass.DataCentre, shards)
+	leaves := map[samphirepass.DataCentre]int{}
+	for i := range dataCentres {
+		for _, j := range rnd.Perm(len(all))[:copies] {
+			dataCentres[i] = append(dataCentres[i], all[j])
+			leaves[all[j]]++
+		}
+	}
+	load, total := map[samphirepass.DataCentre]int{}, 0
+	for _, own := range all {
+		for range 50 {
+			offered := slices.Clone(all)
+			rnd.Shuffle(len(offered), func(i, j int) { offered[i], offered[j] = offered[j], offered[i] })
+			for _, p := range policy.SplitShards(dataCentres, own, offered) {
+				load[p.DataCentre] += len(p.Shards)
+				total += len(p.Shards)
+			}
+		}
+	}
+	for dataCentre, n := range load {
+		fair := float64(total) * float64(leaves[dataCentre]) / (shards * copies)
+		require.Less(t, float64(n), 1.25*fair, "load %v for leaves %v", load, leaves)
+	}
+}
