collector: Balance the shards that are collected in a data centre

Collectors were in charge of equal numbers of all shards, but only those with a leaf in their data centre are collected there: the number of these differed by half. TestPartsOfADataCentreAreEven failed before.

--- a/collector/split.go
+++ b/collector/split.go
@@ -94,12 +94,8 @@
 		return nil
 	}
 	shards := c.opts.Shards()
-	addresses := make([]string, len(collectors))
-	for i, offer := range collectors {
-		addresses[i] = offer.Address
-	}
 	inCharge := map[samphirepass.Service]bool{}
-	for i, assigned := range policy.AssignShards(shards, addresses) {
+	for i, assigned := range c.assignShards(shards, c.opts.DataCentre, collectors) {
 		if assigned == own {
 			inCharge[shards[i]] = true
 		}
--- a/collector/spread.go
+++ b/collector/spread.go
@@ -8,6 +8,7 @@
 
 	"samphirepass"
 	"samphirepass/directory"
+	"samphirepass/leaf"
 	"samphirepass/policy"
 )
 
@@ -71,7 +72,7 @@
 	for i, offer := range usable {
 		parts[i] = part{ShardPart: samphirepass.ShardPart{DataCentre: p.DataCentre}, spread: true, collector: offer, local: offer.Address == c.opts.Address}
 	}
-	assigned := c.assignments.of(shards, usable)
+	assigned := c.assignShards(shards, p.DataCentre, usable)
 	for _, shard := range p.Shards {
 		parts[assigned[shard]].Shards = append(parts[assigned[shard]].Shards, shard)
 	}
@@ -81,21 +82,26 @@
 // maxAssignments bounds the assignments that are kept: those of a few routes to the collectors of a few data centres.
 const maxAssignments = 32
 
-// assignmentCache keeps the latest results of policy.AssignShards, which takes long compared with sending a request.
+// assignmentCache keeps the latest assignments of shards to collectors, which take long to work out compared with sending a request.
 type assignmentCache struct {
 	mu      sync.Mutex
 	entries map[assignmentKey][]int
 }
 
-// assignmentKey identifies a list of shards, which the routing document in force holds, and a list of collectors.
+// assignmentKey identifies a list of shards, which the routing document in force holds, a list of collectors, and what is known of leaves.
 type assignmentKey struct {
 	first      *samphirepass.Service
 	n          int
 	collectors uint64
+	leaves     uint64
 }
 
-// of returns the index of the collector in charge of each shard.
-func (a *assignmentCache) of(shards []samphirepass.Service, collectors []directory.CollectorOffer) []int {
+// assignShards returns the index of the collector of a data centre that is in charge of each shard. Each gets equal numbers of the shards
+// that have a leaf there, and of the others.
+func (c *Client) assignShards(shards []samphirepass.Service, dataCentre samphirepass.DataCentre, collectors []directory.CollectorOffer) []int {
+	if len(shards) == 0 {
+		return nil
+	}
 	addresses := make([]string, len(collectors))
 	d := xxhash.New()
 	for i, offer := range collectors {
@@ -103,17 +109,35 @@
 		// Writing to a hash cannot fail.
 		_, _ = d.WriteString(offer.Address + "\x00")
 	}
-	key := assignmentKey{first: &shards[0], n: len(shards), collectors: d.Sum64()}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if assigned, ok := a.entries[key]; ok {
+	key := assignmentKey{first: &shards[0], n: len(shards), collectors: d.Sum64(), leaves: c.opts.Registry.Version()}
+	c.assignments.mu.Lock()
+	defer c.assignments.mu.Unlock()
+	if assigned, ok := c.assignments.entries[key]; ok {
 		return assigned
 	}
-	if len(a.entries) >= maxAssignments || a.entries == nil {
-		a.entries = map[assignmentKey][]int{}
+	if len(c.assignments.entries) >= maxAssignments || c.assignments.entries == nil {
+		c.assignments.entries = map[assignmentKey][]int{}
+	}
+	var local, remote []int
+	for i, s := range shards {
+		if slices.ContainsFunc(c.opts.Registry.Serving(s), func(reg leaf.Registration) bool { return reg.DataCentre == dataCentre }) {
+			local = append(local, i)
+		} else {
+			remote = append(remote, i)
+		}
+	}
+	assigned := make([]int, len(shards))
+	for _, indices := range [][]int{local, remote} {
+		services := make([]samphirepass.Service, len(indices))
+		for j, i := range indices {
+			services[j] = shards[i]
+		}
+		for j, collector := range policy.AssignShards(services, addresses) {
+			assigned[indices[j]] = collector
+		}
 	}
-	a.entries[key] = policy.AssignShards(shards, addresses)
-	return a.entries[key]
+	c.assignments.entries[key] = assigned
+	return assigned
 }
 
 // ShardUse says how many collectors send requests to the leaves of a shard.
--- a/collector/spread_test.go
+++ b/collector/spread_test.go
@@ -34,6 +34,12 @@
 	for _, s := range d.Shards {
 		announce(r, s, "derby")
 	}
+	return startEntryForSpreadWith(t, d, collectors, r)
+}
+
+// startEntryForSpreadWith does the same with the leaves of a registry.
+func startEntryForSpreadWith(t *testing.T, d leaf.Delivery, collectors []*testCollector, r *leaf.Registry) (*collector.Client, *fakeDeliverer) {
+	t.Helper()
 	var offers []directory.CollectorOffer
 	for i, tc := range collectors {
 		capacity := samphirepass.Capacity{Cores: 0.2}
@@ -144,6 +150,36 @@
 	}
 }
 
+// TestPartsOfADataCentreAreEven guards against collectors that are in charge of equal numbers of shards, most of which are collected in
+// another data centre.
+func TestPartsOfADataCentreAreEven(t *testing.T) {
+	var collectors []*testCollector
+	for range 6 {
+		collectors = append(collectors, startCollector(t, 0))
+	}
+	d := largeDelivery(135)
+	r := leaf.NewRegistry(clock)
+	for i, s := range d.Shards {
+		dataCentre := samphirepass.DataCentre("derby")
+		if i >= 60 {
+			dataCentre = "trent"
+		}
+		announce(r, s, dataCentre)
+	}
+	c, _ := startEntryForSpreadWith(t, d, collectors, r)
+	require.Equal(t, 135, c.Deliver(t.Context(), d).Answered)
+	for _, tc := range collectors {
+		local := 0
+		for _, s := range tc.deliverer.calls()[0].Shards {
+			if slices.Contains(d.Shards[:60], s) {
+				local++
+			}
+		}
+		require.LessOrEqual(t, local, 11, "1.1 times the mean")
+		require.LessOrEqual(t, len(tc.deliverer.calls()[0].Shards), 25)
+	}
+}
+
 // TestProofRestIsAskedForInTime guards against the loss of a part that its collector has given up, as nobody asked for the rest while
 // another collector had not reported.
 func TestProofRestIsAskedForInTime(t *testing.T) {
