--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -94,7 +94,7 @@
 		Registry: g.registry, Pool: g.pool, Sender: sender, DataCentre: cfg.DataCentre,
 		Chooser: policy.LeastCostChooser{}, Clock: clock, Budget: g.retryBudget, ExtraPercent: extraPercent,
 	})
-	g.collectorServer = collector.NewServer(g.deliverer, g.stopping.Load, g.metrics, log.For("collector"))
+	g.collectorServer = collector.NewServer(g.deliverer, g.refusesParts, g.metrics, log.For("collector"))
 	g.collectorClient = collector.NewClient(collector.Options{
 		VM: cfg.VM, Local: g.deliverer, Registry: g.registry, Peers: g.peers, Offers: g.follower.Offers, Shards: g.shards, DataCentre: cfg.DataCentre,
 		Address: cfg.CollectAddress(), Collecting: g.follower.IsCollector, Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
@@ -285,6 +285,13 @@
 	return samphirepass.Millis(at) - g.clock.Now(), at != 0
 }
 
+// refusesParts reports whether this gateway takes no more parts of others' requests. When it begins to stop, others still believe that it
+// collects, and there is time to answer them.
+func (g *Gateway) refusesParts() bool {
+	_, ending := g.cutIn()
+	return ending
+}
+
 // connectionRefresher periodically removes expired leaves from the registry and updates the connection limits of those that
 // are not leaving.
 type connectionRefresher struct{ g *Gateway }
