leaf, policy, directory, gateway: Keep a request that crashes leaves from further ones

One request in thirty-three that crashes the leaves that run it took the whole service with it: nothing that one gateway, or one attempt of a request, learned reached the next. What an attempt lost was tried on the next leaf, at the next gateway, the next time.

An attempt counts as crashed if its connection broke and nothing listens at the leaf any more. Within a request further attempts then wait until a leaf has survived it; without one a single attempt goes out. Between requests crashes are kept by a hash of the request and its credentials, bounded, shared through the registrars: the same request goes to a single leaf first, and is refused at once, as not run, after three leaves, one of which ran it alone. A survivor clears it everywhere.

--- a/attempt.go
+++ b/attempt.go
@@ -63,8 +63,18 @@
 	FailureGone FailureKind = "gone"
 	// FailureLost means that the connection broke or the deadline passed before a complete answer arrived.
 	FailureLost FailureKind = "lost"
+	// FailureCrashed means that the connection broke and nothing listens at the leaf's address any more.
+	FailureCrashed FailureKind = "crashed"
 )
 
+// LeafCrash is the end of a leaf while it ran a request.
+type LeafCrash struct {
+	Leaf        Leaf
+	Incarnation Incarnation
+	// Alone is set if this was the request's only attempt in flight, sent to find out whether the request crashes leaves.
+	Alone bool
+}
+
 // AttemptError is the error of a failed attempt.
 type AttemptError struct {
 	Kind FailureKind
--- a/collector/client.go
+++ b/collector/client.go
@@ -106,7 +106,8 @@
 		return c.opts.Local.Deliver(ctx, d)
 	}
 	offers := c.usableOffers(len(d.Shards))
-	if len(offers) == 0 {
+	// Several collectors could not send a single attempt first.
+	if len(offers) == 0 || d.Probe {
 		return c.opts.Local.Deliver(ctx, d)
 	}
 	dataCentres := c.shardDataCentres(d.Shards)
--- a/collector/messages.go
+++ b/collector/messages.go
@@ -31,6 +31,9 @@
 	Unfinished uint64
 	// RetryAfterMs is that of leaf.DeliveryResult.
 	RetryAfterMs samphirepass.Millis
+	// Crashes and Survived are those of leaf.DeliveryResult.
+	Crashes  []samphirepass.LeafCrash
+	Survived bool
 }
 
 // collectRestRequest asks for the complete result of a delivery of which the answers so far were returned, or releases it.
@@ -43,7 +46,7 @@
 	reply := collectReply{
 		Answered: result.Answered, Known: result.KnownShards, RequiredShards: result.RequiredShards, Extra: result.Extra, Attempts: result.Attempts,
 		MaybeRun: result.MaybeRun, LastLeaf: result.LastLeaf, DegradedShards: result.DegradedShards, Skipped: result.Skipped,
-		RetryAfterMs: result.RetryAfterMs,
+		RetryAfterMs: result.RetryAfterMs, Crashes: result.Crashes, Survived: result.Survived,
 	}
 	if result.LastErr != nil {
 		reply.LastError = result.LastErr.Error()
@@ -59,7 +62,7 @@
 	result := leaf.DeliveryResult{
 		Merged: r.Merged, Answered: r.Answered, KnownShards: r.Known, RequiredShards: r.RequiredShards, Extra: r.Extra,
 		Attempts: r.Attempts, MaybeRun: r.MaybeRun, LastLeaf: r.LastLeaf, DegradedShards: r.DegradedShards, Skipped: r.Skipped,
-		RetryAfterMs: r.RetryAfterMs,
+		RetryAfterMs: r.RetryAfterMs, Crashes: r.Crashes, Survived: r.Survived,
 	}
 	if r.LastError != "" {
 		result.LastErr = eris.New(r.LastError)
--- a/collector/parts.go
+++ b/collector/parts.go
@@ -163,6 +163,8 @@
 		combined.RetryAfterMs = max(combined.RetryAfterMs, r.RetryAfterMs)
 		combined.HalfAnsweredMs = max(combined.HalfAnsweredMs, r.HalfAnsweredMs)
 		combined.Shed = combined.Shed || r.Shed
+		combined.Crashes = append(combined.Crashes, r.Crashes...)
+		combined.Survived = combined.Survived || r.Survived
 		if r.LastErr != nil {
 			combined.LastErr, combined.LastLeaf = r.LastErr, r.LastLeaf
 		}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -84,8 +84,9 @@
 		budgets: map[samphirepass.Service]samphirepass.Budget{},
 	}
 	g.pool = leaf.NewPool(clock, routingShares{g})
+	quarantine := policy.NewQuarantine(clock)
 	g.follower = directory.NewFollower(directory.FollowerOptions{
-		VM: cfg.VM, DataCentre: cfg.DataCentre, Seeds: cfg.SeedPeers(), Registry: g.registry, Peers: g.peers,
+		VM: cfg.VM, DataCentre: cfg.DataCentre, Seeds: cfg.SeedPeers(), Registry: g.registry, Peers: g.peers, Quarantine: quarantine,
 		Clock: clock, OnRouting: g.applyRouting, Capacity: cfg.Capacity(), CollectAddress: cfg.CollectAddress(), Logf: log.For("directory").Infof,
 	})
 	sender := leaf.NewSender(g.pool, platform.LeafProtocol{}, clock)
@@ -99,7 +100,9 @@
 		VM: cfg.VM, Local: g.deliverer, Registry: g.registry, Peers: g.peers, Offers: g.follower.Offers, Shards: g.shards, DataCentre: cfg.DataCentre,
 		Address: cfg.CollectAddress(), Collecting: g.follower.IsCollector, Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
 	})
-	g.dispatcher = gateway.NewDispatcher(gateway.Options{Deliverer: g.collectorClient, CutIn: g.cutIn, Metrics: g.metrics, Clock: clock, Log: log.For("gateway")})
+	g.dispatcher = gateway.NewDispatcher(gateway.Options{
+		Deliverer: g.collectorClient, CutIn: g.cutIn, Quarantine: quarantine, OnSuspicion: g.follower.ReportSuspicion, Metrics: g.metrics, Clock: clock, Log: log.For("gateway"),
+	})
 	return g, g.listen()
 }
 
--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -18,6 +18,7 @@
 	"samphirepass/metrics"
 	"samphirepass/peer"
 	"samphirepass/platform"
+	"samphirepass/policy"
 	"samphirepass/quorum"
 	"samphirepass/settings"
 	"samphirepass/web"
@@ -68,13 +69,14 @@
 		cfg: cfg, log: log, clock: clock, registry: leaf.NewRegistry(clock), peers: &peer.Pool{LocalAddr: cfg.LocalIP()},
 		handlers: newHandlers(log), metrics: metrics.NewMetrics(),
 	}
+	quarantine := policy.NewQuarantine(clock)
 	r.source = directory.NewSource(directory.SourceOptions{
-		Self: directory.Endpoint{Address: cfg.PeerAddress(), DataCentre: cfg.DataCentre}, Registry: r.registry, State: r, Clock: clock,
+		Self: directory.Endpoint{Address: cfg.PeerAddress(), DataCentre: cfg.DataCentre}, Registry: r.registry, State: r, Quarantine: quarantine, Clock: clock,
 		OnEndpoint: func(e directory.Endpoint) { r.follower.AddEndpoint(e) },
 	})
 	followerOpts := directory.FollowerOptions{
 		VM: cfg.VM, DataCentre: cfg.DataCentre, ControlAddress: cfg.PeerAddress(), Seeds: cfg.SeedPeers(), Registry: r.registry, Peers: r.peers,
-		Clock: clock, OnEntries: r.source.AddReportedEntries, OnOffers: r.source.AddReportedOffers, Logf: log.For("directory").Infof,
+		Quarantine: quarantine, Clock: clock, OnEntries: r.source.AddReportedEntries, OnOffers: r.source.AddReportedOffers, Logf: log.For("directory").Infof,
 	}
 	if cfg.DataFolder == "" {
 		r.relay = newRoutingRelay()
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -15,6 +15,7 @@
 	"samphirepass/directory"
 	"samphirepass/leaf"
 	"samphirepass/peer"
+	"samphirepass/policy"
 	"samphirepass/standin"
 )
 
@@ -76,15 +77,16 @@
 		relay, err := standin.NewRelay("127.0.0.1:0", l.Addr().String())
 		require.NoError(t, err)
 		s := &testSource{state: &fakeState{changed: make(chan struct{})}, registry: leaf.NewRegistry(clock), relay: relay}
+		quarantine := policy.NewQuarantine(clock)
 		s.source = directory.NewSource(directory.SourceOptions{
-			Self: directory.Endpoint{Address: relay.Address(), DataCentre: dataCentre(i)}, Registry: s.registry, State: s.state, Clock: clock,
+			Self: directory.Endpoint{Address: relay.Address(), DataCentre: dataCentre(i)}, Registry: s.registry, State: s.state, Quarantine: quarantine, Clock: clock,
 			OnEndpoint: func(e directory.Endpoint) { s.follower.AddEndpoint(e) },
 		})
 		sources = append(sources, s)
 		peers := &peer.Pool{}
 		s.follower = directory.NewFollower(directory.FollowerOptions{
 			VM: samphirepass.VM(fmt.Sprint("c", i)), DataCentre: dataCentre(i), ControlAddress: relay.Address(), Seeds: []string{sources[0].relay.Address()},
-			Registry: s.registry, Peers: peers, Clock: clock, OnEntries: s.source.AddReportedEntries, Logf: t.Logf,
+			Registry: s.registry, Peers: peers, Quarantine: quarantine, Clock: clock, OnEntries: s.source.AddReportedEntries, Logf: t.Logf,
 		})
 		handlers := peer.NewHandlers()
 		s.source.Register(handlers)
@@ -124,17 +126,18 @@
 // testEntry is a follower that is not a control process.
 type testEntry struct {
 	*directory.Follower
-	registry *leaf.Registry
-	mu       sync.Mutex
-	versions []samphirepass.RoutingVersion
+	registry   *leaf.Registry
+	quarantine *policy.Quarantine
+	mu         sync.Mutex
+	versions   []samphirepass.RoutingVersion
 }
 
 func startEntry(t *testing.T, name string, sources []*testSource) *testEntry {
 	t.Helper()
-	e := &testEntry{registry: leaf.NewRegistry(clock)}
+	e := &testEntry{registry: leaf.NewRegistry(clock), quarantine: policy.NewQuarantine(clock)}
 	peers := &peer.Pool{}
 	e.Follower = directory.NewFollower(directory.FollowerOptions{
-		VM: samphirepass.VM(name), DataCentre: dataCentre(0), Seeds: []string{sources[0].relay.Address()}, Registry: e.registry,
+		VM: samphirepass.VM(name), DataCentre: dataCentre(0), Seeds: []string{sources[0].relay.Address()}, Registry: e.registry, Quarantine: e.quarantine,
 		Peers: peers, Clock: clock, Logf: t.Logf, OnRouting: func(d samphirepass.RoutingDocument) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -13,6 +13,7 @@
 	"samphirepass"
 	"samphirepass/leaf"
 	"samphirepass/peer"
+	"samphirepass/policy"
 )
 
 const (
@@ -75,6 +76,8 @@
 	Capacity samphirepass.Capacity
 	// CollectAddress is the peer address at which this entry collects for smaller ones, empty if it does not.
 	CollectAddress string
+	// Quarantine is kept up to date with what the sources know of requests that crash leaves; it may be nil.
+	Quarantine *policy.Quarantine
 	// Logf logs each change of the followed sources.
 	Logf func(format string, args ...any)
 }
@@ -102,6 +105,8 @@
 	// endpoints are those that it last sent, with their version.
 	endpoints        []Endpoint
 	endpointsVersion uint64
+	// suspicionsVersion is that of its last reply.
+	suspicionsVersion uint64
 }
 
 // Follower keeps a process up to date by long polls of its sources; it is safe for concurrent use.
@@ -128,12 +133,12 @@
 
 	routingMu sync.Mutex
 
-	reports chan leafReport
+	reports chan report
 }
 
 // NewFollower returns a follower that knows only the seeds.
 func NewFollower(opts FollowerOptions) *Follower {
-	f := &Follower{opts: opts, sources: map[string]*sourceState{}, reports: make(chan leafReport, maxWaitingReports)}
+	f := &Follower{opts: opts, sources: map[string]*sourceState{}, reports: make(chan report, maxWaitingReports)}
 	for _, seed := range opts.Seeds {
 		if seed != opts.ControlAddress {
 			f.sources[seed] = &sourceState{seed: true, failedAt: opts.Clock.Now() - sourceCooldownMs}
@@ -308,6 +313,7 @@
 		VM: f.opts.VM, ControlAddress: f.opts.ControlAddress, DataCentre: f.opts.DataCentre,
 		Epoch: s.epoch, LeavesVersion: s.leavesVersion, RoutingVersion: f.routingVersion, WaitMs: pollWaitMs,
 		Capacity: f.opts.Capacity, CollectAddress: f.opts.CollectAddress, OffersVersion: s.offersVersion, EndpointsVersion: s.endpointsVersion,
+		SuspicionsVersion: s.suspicionsVersion,
 	}
 	if f.opts.OnRouting == nil {
 		// A control process gets the documents from the replicated log, so the source must not send any.
@@ -335,6 +341,11 @@
 		f.opts.Registry.SetSilentReport(address, reply.SilentLeaves, true)
 	}
 	f.applyRouting(reply.Routing)
+	if f.opts.Quarantine != nil {
+		for _, suspicion := range reply.Suspicions {
+			f.opts.Quarantine.Merge(suspicion)
+		}
+	}
 	if f.opts.OnEntries != nil {
 		f.opts.OnEntries(reply.DirectEntries)
 	}
@@ -345,7 +356,7 @@
 	defer f.mu.Unlock()
 	now := f.opts.Clock.Now()
 	s := f.sources[address]
-	s.epoch, s.leavesVersion, s.dataCentre, s.listedAt = reply.Epoch, reply.LeavesVersion, reply.DataCentre, now
+	s.epoch, s.leavesVersion, s.dataCentre, s.listedAt, s.suspicionsVersion = reply.Epoch, reply.LeavesVersion, reply.DataCentre, now, reply.SuspicionsVersion
 	if reply.OffersVersion != s.offersVersion {
 		s.offers, s.offersVersion = reply.Offers, reply.OffersVersion
 	}
--- a/directory/messages.go
+++ b/directory/messages.go
@@ -40,6 +40,8 @@
 	OffersVersion uint64
 	// EndpointsVersion is the version of the endpoints that the follower last received from this source.
 	EndpointsVersion uint64
+	// SuspicionsVersion is the version of the suspicions that the follower last received from this source.
+	SuspicionsVersion uint64
 }
 
 // followReply is the reply of a source to a followRequest.
@@ -73,4 +75,7 @@
 	IsCollector    bool
 	// EndpointsVersion is the version of Endpoints.
 	EndpointsVersion uint64
+	// Suspicions are the requests that crash leaves, as far as they have changed since the request's SuspicionsVersion.
+	Suspicions        []samphirepass.Suspicion
+	SuspicionsVersion uint64
 }
--- a/directory/reports.go
+++ b/directory/reports.go
@@ -24,14 +24,21 @@
 	Incarnation samphirepass.Incarnation
 	Limit       samphirepass.LeafLimit
 	Leaving     bool
-	heardAt     samphirepass.Millis
+}
+
+// report is what an entry has heard from a leaf or learned of a request.
+type report struct {
+	leaf      *leafReport
+	suspicion *samphirepass.Suspicion
+	heardAt   samphirepass.Millis
 }
 
 type reportRequest struct {
-	Reports []leafReport
+	Reports    []leafReport
+	Suspicions []samphirepass.Suspicion
 }
 
-// applyReports applies what an entry heard from leaves. All other processes learn of it like of any other change of a leaf.
+// applyReports applies what an entry heard from leaves and learned of requests. All other processes learn of it by their polls.
 func (s *Source) applyReports(_ context.Context, req reportRequest) (struct{}, error) {
 	for _, r := range req.Reports {
 		s.opts.Registry.SetLimit(r.Leaf, r.Incarnation, r.Limit, true)
@@ -39,6 +46,11 @@
 			s.opts.Registry.SetLeaving(r.Leaf, r.Incarnation)
 		}
 	}
+	if s.opts.Quarantine != nil {
+		for _, suspicion := range req.Suspicions {
+			s.opts.Quarantine.Merge(suspicion)
+		}
+	}
 	return struct{}{}, nil
 }
 
@@ -56,17 +68,22 @@
 	if !newLimit && !nowLeaving {
 		return
 	}
+	f.report(report{leaf: &leafReport{Leaf: from.Leaf, Incarnation: from.Incarnation, Limit: limit, Leaving: n.Leaving}, heardAt: f.opts.Clock.Now()})
+}
+
+// report queues a report for the sources.
+func (f *Follower) report(r report) {
 	select {
-	case f.reports <- leafReport{Leaf: from.Leaf, Incarnation: from.Incarnation, Limit: limit, Leaving: n.Leaving, heardAt: f.opts.Clock.Now()}:
+	case f.reports <- r:
 	default:
-		f.opts.Logf("What leaf %s says is not reported: %d reports are waiting.", from.Leaf, maxWaitingReports)
+		f.opts.Logf("What leaves say or a request did to them is not reported: %d reports are waiting.", maxWaitingReports)
 	}
 }
 
 // sendReports sends reports to a source until ctx ends.
 func (f *Follower) sendReports(ctx context.Context) {
 	for {
-		var reports []leafReport
+		var reports []report
 		select {
 		case r := <-f.reports:
 			reports = append(reports, r)
@@ -82,24 +99,38 @@
 }
 
 // sendReport sends reports to one of the followed sources.
-func (f *Follower) sendReport(ctx context.Context, reports []leafReport) {
+func (f *Follower) sendReport(ctx context.Context, reports []report) {
 	var lastErr error
 	for _, address := range f.followedSources() {
-		for i := range reports {
-			reports[i].Limit.AgeMs = f.opts.Clock.Now() - reports[i].heardAt
-		}
-		if lastErr = f.callReport(ctx, address, reports); lastErr == nil {
+		if lastErr = f.callReport(ctx, address, newReportRequest(reports, f.opts.Clock.Now())); lastErr == nil {
 			return
 		}
 	}
-	f.opts.Logf("What %d leaves say is not reported: no source took it (%v).", len(reports), lastErr)
+	f.opts.Logf("%d reports on leaves and requests are lost: no source took them (%v).", len(reports), lastErr)
+}
+
+// newReportRequest returns a request with the reports as they are at the time now.
+func newReportRequest(reports []report, now samphirepass.Millis) reportRequest {
+	var req reportRequest
+	for _, r := range reports {
+		age := now - r.heardAt
+		if r.leaf != nil {
+			aged := *r.leaf
+			aged.Limit.AgeMs = age
+			req.Reports = append(req.Reports, aged)
+		}
+		if r.suspicion != nil {
+			req.Suspicions = append(req.Suspicions, r.suspicion.Aged(age))
+		}
+	}
+	return req
 }
 
-func (f *Follower) callReport(ctx context.Context, address string, reports []leafReport) error {
+func (f *Follower) callReport(ctx context.Context, address string, req reportRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeoutMs.Duration())
 	defer cancel()
 	var reply struct{}
-	if err := f.opts.Peers.Get(address).Call(ctx, kindReport, reportRequest{Reports: reports}, &reply); err != nil {
+	if err := f.opts.Peers.Get(address).Call(ctx, kindReport, req, &reply); err != nil {
 		return fmt.Errorf("report to %s: %w", address, err)
 	}
 	return nil
--- a/directory/source.go
+++ b/directory/source.go
@@ -12,6 +12,7 @@
 	"samphirepass"
 	"samphirepass/leaf"
 	"samphirepass/peer"
+	"samphirepass/policy"
 )
 
 const (
@@ -69,7 +70,9 @@
 	Self     Endpoint
 	Registry *leaf.Registry
 	State    State
-	Clock    samphirepass.Clock
+	// Quarantine holds what is known of requests that crash leaves; nil means that it is not passed on.
+	Quarantine *policy.Quarantine
+	Clock      samphirepass.Clock
 	// OnEndpoint is called with the endpoint of a control process at each of its polls; it may be nil.
 	OnEndpoint func(Endpoint)
 }
@@ -119,6 +122,7 @@
 			knownVersion = 0
 		}
 		leavesChanged := s.opts.Registry.Changed(knownVersion)
+		suspicionsChanged := s.suspicionsChanged(req)
 		reply, hasChanges := s.buildReply(req, knownVersion)
 		if hasChanges && len(reply.Leaves) > 0 && knownVersion > 0 && reply.Routing.Version == 0 {
 			reply = s.coalesce(ctx, req, knownVersion)
@@ -129,6 +133,7 @@
 		select {
 		case <-changed:
 		case <-leavesChanged:
+		case <-suspicionsChanged:
 		case <-timeout.C:
 			return s.addHeartbeats(req, reply), nil
 		case <-ctx.Done():
@@ -183,7 +188,8 @@
 	}
 	reply.DirectEntries, _ = s.countEntries()
 	reply.EntryCount, reply.CollectorCount = s.entryCounts()
-	hasChanges := req.Epoch != s.epoch || len(reply.Leaves) > 0 || reply.Routing.Version > 0
+	s.addSuspicions(req, &reply)
+	hasChanges := req.Epoch != s.epoch || len(reply.Leaves) > 0 || reply.Routing.Version > 0 || len(reply.Suspicions) > 0
 	if req.ControlAddress != "" {
 		reply.DirectOffers = s.directOffers()
 		return reply, hasChanges
--- a/errors.go
+++ b/errors.go
@@ -36,6 +36,8 @@
 	CodeRestartWatch  Code = "restart-watch"
 	CodeUnknownCaller Code = "unknown-caller"
 	CodeNotLeader     Code = "not-leader"
+	// CodeQuarantined means that leaves crash when they run the request.
+	CodeQuarantined Code = "quarantined"
 )
 
 // Refusal is an error with a code that callers can act on.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -11,6 +11,7 @@
 	"samphirepass/leaf"
 	"samphirepass/logs"
 	"samphirepass/metrics"
+	"samphirepass/policy"
 )
 
 const (
@@ -52,10 +53,14 @@
 	Deliverer Deliverer
 	// CutIn returns the time until the requests in flight are cut, and reports whether requests that may last longer are refused; nil means
 	// that none are.
-	CutIn   func() (samphirepass.Millis, bool)
-	Metrics *metrics.Metrics
-	Clock   samphirepass.Clock
-	Log     logs.Logger
+	CutIn func() (samphirepass.Millis, bool)
+	// Quarantine holds what is known of requests that crash leaves; nil means that there are none.
+	Quarantine *policy.Quarantine
+	// OnSuspicion is called with what this gateway adds to Quarantine, for the other gateways.
+	OnSuspicion func(samphirepass.Suspicion)
+	Metrics     *metrics.Metrics
+	Clock       samphirepass.Clock
+	Log         logs.Logger
 }
 
 // Dispatcher answers requests by the current routing document. It implements samphirepass.Dispatcher and is safe for concurrent use.
@@ -152,10 +157,14 @@
 	if refusal == nil {
 		refusal = d.checkCut(delivery)
 	}
+	if refusal == nil {
+		delivery.Probe, refusal = d.checkQuarantine(delivery)
+	}
 	if refusal == nil {
 		deliverCtx, cancel := context.WithTimeout(ctx, delivery.Request.DeadlineMs.Duration())
 		defer cancel()
 		result = d.opts.Deliverer.Deliver(deliverCtx, delivery)
+		d.recordCrashes(delivery, result)
 		answer, refusal = buildAnswer(deliverCtx, delivery, result)
 	}
 	d.recordResult(router, delivery, result, refusal, d.opts.Clock.Now()-began)
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -87,7 +87,7 @@
 
 func (f *fanOut) sendAttempt(ctx context.Context, shard int, reg Registration, a samphirepass.Attempt) {
 	began := f.clock.Now()
-	r := attemptResult{shard: shard, leaf: reg.Leaf, permit: a.Permit}
+	r := attemptResult{shard: shard, leaf: reg.Leaf, incarnation: reg.Incarnation, permit: a.Permit}
 	defer func() {
 		// An answer that a decoder cannot cope with fails the attempt, not the process.
 		if reason := recover(); reason != nil {
@@ -107,6 +107,7 @@
 	s := &f.shards[r.shard]
 	s.inFlight--
 	s.permits = slices.DeleteFunc(s.permits, func(p *samphirepass.SendPermit) bool { return p == r.permit })
+	f.noteOutcome(r)
 	if s.closed {
 		return
 	}
@@ -194,6 +195,10 @@
 	if s.inFlight > 0 {
 		return
 	}
+	if f.suspected() {
+		f.hold(shard, takeBudget)
+		return
+	}
 	if f.ctx.Err() == nil && f.startExtraAttempt(shard, takeBudget) {
 		return
 	}
@@ -275,7 +280,7 @@
 // canHedge reports whether a shard waits for a single attempt and may have another one.
 func (f *fanOut) canHedge(shard int) bool {
 	s := &f.shards[shard]
-	return !f.atMostOnce && !s.closed && s.inFlight == 1 && s.countedAttempts < f.fanOutOptions.maxAttempts && len(f.untriedLeaves(shard)) > 0
+	return !f.atMostOnce && !f.suspected() && !s.closed && s.inFlight == 1 && s.countedAttempts < f.fanOutOptions.maxAttempts && len(f.untriedLeaves(shard)) > 0
 }
 
 func (f *fanOut) hedgeLateShards() {
--- /dev/null
+++ b/leaf/crashes_test.go
@@ -0,0 +1,102 @@
+package leaf_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphirepass"
+)
+
+// crashingSender crashes the leaves for which crashes reports true, 2 ms after they began; the others answer after answerIn.
+func crashingSender(crashes func(samphirepass.Leaf) bool, answerIn time.Duration) (*scriptedSender, func() []samphirepass.Leaf) {
+	var mu sync.Mutex
+	var crashed []samphirepass.Leaf
+	s := &scriptedSender{answer: func(_ context.Context, to samphirepass.Leaf, _ int, _ samphirepass.Attempt) (samphirepass.Reply, error) {
+		if !crashes(to) {
+			time.Sleep(answerIn)
+			return okReply()
+		}
+		time.Sleep(2 * time.Millisecond)
+		mu.Lock()
+		defer mu.Unlock()
+		crashed = append(crashed, to)
+		return samphirepass.Reply{}, attemptError(samphirepass.FailureCrashed)
+	}}
+	return s, func() []samphirepass.Leaf {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(crashed)
+	}
+}
+
+// TestProofRequestCrashesNoSecondLeafOfEachShard guards against a request that crashes the leaves that run it being sent to further leaves of
+// all its shards. A single further attempt shows whether it is to blame.
+func TestProofRequestCrashesNoSecondLeafOfEachShard(t *testing.T) {
+	tests := map[string]struct {
+		crashes func(samphirepass.Leaf) bool
+		probe   bool
+		// crashed are the leaves that crash, answered the shards that answer.
+		crashed, answered int
+		survived          bool
+	}{
+		"every leaf":                   {func(samphirepass.Leaf) bool { return true }, false, 4, 0, false},
+		"every leaf, probed":           {func(samphirepass.Leaf) bool { return true }, true, 1, 0, false},
+		"the first leaf of each shard": {func(l samphirepass.Leaf) bool { return l[len(l)-1] == '0' }, false, 3, 3, true},
+		"the leaves of one shard":      {func(l samphirepass.Leaf) bool { return l[0] == '1' }, false, 2, 2, true},
+		"one leaf":                     {func(l samphirepass.Leaf) bool { return l == "1-0" }, false, 1, 3, true},
+		"one leaf, probed":             {func(l samphirepass.Leaf) bool { return l == "1-0" }, true, 1, 3, true},
+		"no leaf, probed":              {func(samphirepass.Leaf) bool { return false }, true, 0, 3, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, crashed := crashingSender(tt.crashes, 5*time.Millisecond)
+			d, _ := newDeliverer(s, &fixedBudget{remaining: 10})
+			delivery := newDelivery(testRoute)
+			delivery.Probe = tt.probe
+			result, _ := deliver(d, delivery)
+			require.Len(t, crashed(), tt.crashed)
+			require.Equal(t, tt.answered, result.Answered)
+			require.Equal(t, tt.survived, result.Survived)
+			require.Len(t, result.Crashes, tt.crashed)
+			if !tt.survived {
+				require.True(t, slices.ContainsFunc(result.Crashes, func(c samphirepass.LeafCrash) bool { return c.Alone }))
+			}
+		})
+	}
+}
+
+// TestCrashOfOneLeafIsRetriedAtOnce guards against a wait for other answers where there are none to wait for.
+func TestCrashOfOneLeafIsRetriedAtOnce(t *testing.T) {
+	route := testRoute
+	route.Services = []samphirepass.WeightedService{{Service: service(0), Weight: 1}}
+	s, crashed := crashingSender(func(l samphirepass.Leaf) bool { return l == "0-0" }, 0)
+	d, _ := newDeliverer(s, &fixedBudget{remaining: 1})
+	result, took := deliver(d, newDelivery(route))
+	require.Equal(t, 1, result.Answered)
+	require.Less(t, took, 50*time.Millisecond)
+	require.Len(t, crashed(), 1)
+	require.True(t, result.Survived)
+}
+
+// TestCrashOfRequestThatMayNotBeRepeated guards against a second attempt, alone or not.
+func TestCrashOfRequestThatMayNotBeRepeated(t *testing.T) {
+	for name, probe := range map[string]bool{"not known": false, "probed": true} {
+		t.Run(name, func(t *testing.T) {
+			route := testRoute
+			route.Kind, route.Services = samphirepass.AtMostOnce, []samphirepass.WeightedService{{Service: service(0), Weight: 1}}
+			s, crashed := crashingSender(func(samphirepass.Leaf) bool { return true }, 0)
+			d, _ := newDeliverer(s, &fixedBudget{remaining: 10})
+			delivery := newDelivery(route)
+			delivery.Probe = probe
+			result, _ := deliver(d, delivery)
+			require.Len(t, crashed(), 1)
+			require.True(t, result.MaybeRun)
+			require.Equal(t, []samphirepass.LeafCrash{{Leaf: "0-0", Incarnation: 1, Alone: probe}}, result.Crashes)
+		})
+	}
+}
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -41,6 +41,8 @@
 	MinShards int
 	// DueShards is the number of shards with which the answer is returned at PartialAfterMs; 0 means MinShards.
 	DueShards int
+	// Probe makes the first attempt go out alone, and the others only once a leaf has survived the request.
+	Probe bool
 	// OnPartial is called once with the answers so far if they are fewer than DueShards at PartialAfterMs; it may be nil.
 	OnPartial func(DeliveryResult) `codec:"-"`
 }
@@ -94,6 +96,9 @@
 	Shed bool
 	// RetryAfterMs is the time until a leaf takes a request, if the request was not sent because too few leaves do now.
 	RetryAfterMs samphirepass.Millis
+	// Crashes are the leaves that ended while they ran the request, Survived is set if another one ran it and did not.
+	Crashes  []samphirepass.LeafCrash
+	Survived bool
 	// Timing says where the time went.
 	Timing Timing
 }
@@ -208,7 +213,7 @@
 		hedger: state.hedger, budgets: make([]samphirepass.Budget, len(delivery.Shards)),
 		maxAttempts: max(delivery.Route.MaxAttempts, 1), atMostOnce: delivery.Route.Kind == samphirepass.AtMostOnce,
 		partialAfter: delivery.PartialAfterMs, grace: delivery.GraceMs, requiredShards: delivery.RequiredShards(), dueShards: delivery.dueShards(),
-		cancelDelay: cancelDelayMs, endedCancelDelay: endedCancelDelayMs,
+		cancelDelay: cancelDelayMs, endedCancelDelay: endedCancelDelayMs, probe: delivery.Probe,
 	}
 	opts.expected = expectedLatency(opts.hedger, delivery.Route)
 	result := DeliveryResult{RequiredShards: opts.requiredShards}
@@ -256,6 +261,7 @@
 	result.LastErr, result.LastLeaf = f.lastErr, f.lastLeaf
 	result.Answered, result.Failure, result.MaybeRun = f.answeredShards, f.failure, f.maybeRun || f.mayStillRun
 	result.Timing = f.times.result()
+	result.Crashes, result.Survived = f.crashes, f.survived
 	result.RetryAfterMs = f.retryAfter
 	result.CrossCentreAttempts = f.crossCentreAttempts
 	if delivery.Route.IsScatterGather() {
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -25,12 +25,14 @@
 
 // attemptResult is the outcome of one attempt.
 type attemptResult struct {
-	shard  int
-	leaf   samphirepass.Leaf
-	permit *samphirepass.SendPermit
-	reply  samphirepass.Reply
-	items  []samphirepass.Item
-	took   samphirepass.Millis
+	shard int
+	leaf  samphirepass.Leaf
+	// incarnation is that of the leaf.
+	incarnation samphirepass.Incarnation
+	permit      *samphirepass.SendPermit
+	reply       samphirepass.Reply
+	items       []samphirepass.Item
+	took        samphirepass.Millis
 	// endedAt is when the attempt ended.
 	endedAt samphirepass.Millis
 	err     error
@@ -53,6 +55,9 @@
 	closed bool
 	// skipped is set while the shard is left out although it has leaves.
 	skipped bool
+	// held is set while the next attempt waits until a leaf has survived the request; takeBudget grants that attempt, nil without need.
+	held       bool
+	takeBudget func() bool
 	// partial is set while items come from a partial reply.
 	partial bool
 	reply   samphirepass.Reply
@@ -108,6 +113,8 @@
 	endedCancelDelay samphirepass.Millis
 	// congested is set while requests wait for admission: extra attempts would then displace first ones.
 	congested bool
+	// probe makes the first attempt go out alone, and the others only once a leaf has survived the request.
+	probe bool
 	// progress is called with the fraction of shards still open; it may be nil.
 	progress func(open float64)
 }
@@ -145,6 +152,13 @@
 	// retryAfter is the time until a leaf takes a request, if too few do now.
 	retryAfter samphirepass.Millis
 	times      timingRecorder
+	// crashes are the leaves that ended while they ran the request, survived is set once another one has run it and not ended.
+	crashes  []samphirepass.LeafCrash
+	survived bool
+	// alone is set while the only attempt in flight is to show whether the request crashes leaves.
+	alone bool
+	// condemned is set once a leaf has crashed under an attempt that was alone: there are no further attempts.
+	condemned bool
 	// failure is the last reply of a leaf that ran an attempt and reported a failure.
 	failure *samphirepass.Reply
 }
@@ -183,6 +197,9 @@
 	f.times.timing.StartMs = f.clock.Now() - f.began
 	f.resetTimer()
 	for !f.acceptPartial() && f.canSucceed() && f.openShards > 0 {
+		if f.startAlone(); f.openShards == 0 {
+			return
+		}
 		select {
 		case r := <-f.results:
 			f.handleResult(r)
@@ -202,6 +219,11 @@
 
 // openFirst starts the first attempt on a shard. If no leaf takes one, the shard is closed.
 func (f *fanOut) openFirst(shard int) {
+	if f.suspected() {
+		f.openShards++
+		f.hold(shard, nil)
+		return
+	}
 	if f.startAttempt(shard) {
 		f.openShards++
 		return
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/semaphore"
@@ -14,6 +16,9 @@
 	"samphirepass"
 )
 
+// crashCheckTimeoutMs bounds the check whether a leaf still listens after a connection broke.
+const crashCheckTimeoutMs samphirepass.Millis = 200
+
 // minToldDeadlineFraction is the least fraction of the time left that a leaf is told.
 const minToldDeadlineFraction = 0.5
 
@@ -116,6 +121,9 @@
 		if isMismatch(err) {
 			pc.close()
 		}
+		if hasCrashed(ctx, pc, to, err) {
+			err = attemptError(samphirepass.FailureCrashed, err)
+		}
 		return reply, err
 	}
 	pc.answeredAtMs = s.clock.Now()
@@ -162,6 +170,22 @@
 	return reply, err
 }
 
+// hasCrashed reports whether a leaf has ended since it was sent an attempt whose connection broke. Otherwise the connection that it opens
+// serves the next attempt.
+func hasCrashed(ctx context.Context, pc *pooledConn, to samphirepass.Announcement, err error) bool {
+	var failure *samphirepass.AttemptError
+	if ctx.Err() != nil || !errors.As(err, &failure) || failure.Kind != samphirepass.FailureLost {
+		return false
+	}
+	if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+		return false
+	}
+	pc.close()
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeoutMs.Duration())
+	defer cancel()
+	return errors.Is(pc.connect(ctx, to.Address), syscall.ECONNREFUSED)
+}
+
 // handleNotice heeds and passes on what the leaf says of itself. An answer that is not its own counts for nothing, and a failure that names
 // no limit does not end one.
 func (s *Sender) handleNotice(to samphirepass.Announcement, resp *http.Response, err error) {
