strict: Check the shape of a document before it is parsed

A body of 1 MB of opening brackets ended the process: the parser recurses, and a stack overflow cannot be recovered (fatal error in TestOddDocumentsTakeLittleMemory on the old code). Callers, operators, announcements of leaves and settings all come through here. A list of half a million short values took more memory than a VM has.

Documents nested deeper than 32 levels or with more than 65,536 values are refused after one scan. TestOddDocumentsTakeLittleMemory allows 16 MB for each of nine forms; brackets in strings and comments do not count.

The port 0 is no port of a leaf either.

--- a/strict/strict.go
+++ b/strict/strict.go
@@ -1,6 +1,7 @@
 package strict
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"reflect"
@@ -48,9 +49,76 @@
 	return r
 }
 
+const (
+	// maxDepth is the depth to which objects and lists may be nested.
+	maxDepth = 32
+	// maxValues bounds the values in a document: each takes about a hundred times the memory of its shortest form.
+	maxValues = 1 << 16
+)
+
+// checkShape refuses documents that would take much memory to parse. It finds no other errors.
+func checkShape(data []byte) error {
+	depth, values, line := 0, 0, 1
+	refuse := func(problem string, limit int, of string) error {
+		return FieldErrors{{Line: line, Path: "document", Problem: problem, Allowed: fmt.Sprintf("at most %d %s", limit, of)}}
+	}
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '"', '/':
+			end := endOfToken(data, i)
+			line += bytes.Count(data[i:end], []byte("\n"))
+			i = end - 1
+		case '\n':
+			line++
+		case '[', '{':
+			values++
+			if depth++; depth > maxDepth {
+				return refuse("is nested too deeply", maxDepth, "levels")
+			}
+		case ']', '}':
+			depth--
+		case ',':
+			values++
+		}
+		if values > maxValues {
+			return refuse("has too many values", maxValues, "values")
+		}
+	}
+	return nil
+}
+
+// endOfToken returns the index after the string or comment that starts at i.
+func endOfToken(data []byte, i int) int {
+	rest := data[i:]
+	end := 1
+	switch {
+	case rest[0] == '"':
+		for end < len(rest) && rest[end] != '"' {
+			if rest[end] == '\\' {
+				end++
+			}
+			end++
+		}
+		end++
+	case bytes.HasPrefix(rest, []byte("//")):
+		if end = bytes.IndexByte(rest, '\n'); end < 0 {
+			end = len(rest)
+		}
+	case bytes.HasPrefix(rest, []byte("/*")):
+		if end = bytes.Index(rest[2:], []byte("*/")); end < 0 {
+			return len(data)
+		}
+		end += 4
+	}
+	return min(i+end, len(data))
+}
+
 // Decode decodes data into the struct that v points to and checks it against the rules in its validate tags. Its error is of
 // type FieldErrors.
 func Decode(data []byte, v any) error {
+	if err := checkShape(data); err != nil {
+		return err
+	}
 	root, err := hujson.Parse(data)
 	if err != nil {
 		return FieldErrors{{Line: 1, Path: "document", Problem: err.Error(), Allowed: "JSON with comments"}}
--- a/strict/validate.go
+++ b/strict/validate.go
@@ -19,8 +19,8 @@
 	})
 	// RegisterValidation fails only for an empty tag name.
 	_ = v.RegisterValidation("ip_port", func(f validator.FieldLevel) bool {
-		_, err := netip.ParseAddrPort(f.Field().String())
-		return err == nil
+		address, err := netip.ParseAddrPort(f.Field().String())
+		return err == nil && address.Port() != 0
 	})
 	return v
 }
