--- a/announce.go
+++ b/announce.go
@@ -1,5 +1,10 @@
 package samphirepass
 
+import (
+	"fmt"
+	"net/netip"
+)
+
 // LeafState is the state of a leaf.
 type LeafState string
 
@@ -43,6 +48,58 @@
 	StartedMs Millis `json:"started-ms,omitempty" validate:"min=0"`
 }
 
+const (
+	// maxNameBytes bounds the names in an announcement.
+	maxNameBytes = 256
+	// maxLeafSlots and maxLeafConnections bound what a leaf may say that it takes, so that sums and products of them do not overflow.
+	maxLeafSlots       = 10_000
+	maxLeafConnections = 100_000
+	// maxColdMs bounds the warm-up time that a leaf may state.
+	maxColdMs Millis = 3600 * 1000
+	// maxHoldings and maxHoldingShards bound what a leaf holds.
+	maxHoldings      = 64
+	maxHoldingShards = 100_000
+)
+
+// CheckBounds returns an error that names the first field that no leaf can have, whatever its protocol; such an announcement must neither
+// be kept nor passed on, as all other processes would read it.
+func (a Announcement) CheckBounds() error {
+	for _, name := range []struct{ field, value string }{{"leaf", string(a.Leaf)}, {"service", string(a.Service)}, {"data-centre", string(a.DataCentre)}} {
+		if len(name.value) > maxNameBytes {
+			return outOfBounds(name.field, "at most %d bytes", maxNameBytes)
+		}
+	}
+	address, err := netip.ParseAddrPort(a.Address)
+	switch {
+	case a.Leaf == "":
+		return outOfBounds("leaf", "a name")
+	case err != nil || address.Port() == 0:
+		return outOfBounds("address", "an IP number with a port")
+	case a.Slots < 0 || a.Slots > maxLeafSlots:
+		return outOfBounds("slots", "0 to %d", maxLeafSlots)
+	case a.Connections < 0 || a.Connections > maxLeafConnections:
+		return outOfBounds("connections", "0 to %d", maxLeafConnections)
+	case !(a.ColdMs >= 0 && a.ColdMs <= maxColdMs):
+		return outOfBounds("cold-ms", "0 to %.0f", maxColdMs)
+	case !(a.StartedMs >= 0):
+		return outOfBounds("started-ms", "at least 0")
+	case len(a.Holdings) > maxHoldings:
+		return outOfBounds("holdings", "at most %d", maxHoldings)
+	}
+	for _, h := range a.Holdings {
+		if h.Shards < 1 || h.Shards > maxHoldingShards || int(h.Shard) >= h.Shards {
+			return outOfBounds("holdings.shards", "1 to %d, above the shard", maxHoldingShards)
+		}
+	}
+	return nil
+}
+
+func outOfBounds(field, allowed string, args ...any) error {
+	r := Refuse(CodeInvalid, "the announcement is out of bounds")
+	r.Field, r.Allowed = field, fmt.Sprintf(allowed, args...)
+	return r
+}
+
 // Newer reports whether a replaces b, an announcement of the same leaf. Within an incarnation, leaving is final.
 func (a Announcement) Newer(b Announcement) bool {
 	if a.Incarnation != b.Incarnation {
--- a/leaf/registry.go
+++ b/leaf/registry.go
@@ -108,9 +108,13 @@
 	return d.Sum64()
 }
 
-// Apply registers an announcement of the given age unless a newer one is known. It reports whether it did,
+// Apply registers an announcement of the given age unless a newer one is known or it is out of bounds. It reports whether it did,
 // and whether more than Sequence and ColdMs changed.
 func (r *Registry) Apply(a samphirepass.Announcement, age samphirepass.Millis, direct bool) (newer, changed bool) {
+	// Another process or a copy on disk may hold what an earlier version of this check let through.
+	if a.CheckBounds() != nil {
+		return false, false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
--- a/leaf/registry_test.go
+++ b/leaf/registry_test.go
@@ -1,6 +1,9 @@
 package leaf_test
 
 import (
+	"math"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -202,3 +205,39 @@
 	}
 	require.Zero(t, leaf.Share(newAnnouncement("a", 1, 1, samphirepass.LeafServing), 0, 0))
 }
+
+// TestOddAnnouncementsAreNotKept guards against an entry of another writer that each process reads, from its peers or from a copy on disk,
+// and that ends or misleads all of them.
+func TestOddAnnouncementsAreNotKept(t *testing.T) {
+	valid := newAnnouncement("a", 1, 1, samphirepass.LeafServing, samphirepass.Holding{Snapshot: 1, Shards: 2, Shard: 1})
+	tests := map[string]func(*samphirepass.Announcement){
+		"no name":                   func(a *samphirepass.Announcement) { a.Leaf = "" },
+		"a very long name":          func(a *samphirepass.Announcement) { a.Leaf = samphirepass.Leaf(strings.Repeat("a", 1000)) },
+		"a very long service":       func(a *samphirepass.Announcement) { a.Service = samphirepass.Service(strings.Repeat("a", 1000)) },
+		"no address":                func(a *samphirepass.Announcement) { a.Address = "" },
+		"port 0":                    func(a *samphirepass.Announcement) { a.Address = "127.0.0.1:0" },
+		"port out of range":         func(a *samphirepass.Announcement) { a.Address = "127.0.0.1:65536" },
+		"slots that overflow":       func(a *samphirepass.Announcement) { a.Slots = math.MaxInt },
+		"negative slots":            func(a *samphirepass.Announcement) { a.Slots = -1 },
+		"connections that overflow": func(a *samphirepass.Announcement) { a.Connections = math.MaxInt },
+		"cold for ever":             func(a *samphirepass.Announcement) { a.ColdMs = samphirepass.Millis(math.Inf(1)) },
+		"cold for no number":        func(a *samphirepass.Announcement) { a.ColdMs = samphirepass.Millis(math.NaN()) },
+		"started at no number":      func(a *samphirepass.Announcement) { a.StartedMs = samphirepass.Millis(math.NaN()) },
+		"too many holdings":         func(a *samphirepass.Announcement) { a.Holdings = make([]samphirepass.Holding, 100_000) },
+		"a shard of a huge index":   func(a *samphirepass.Announcement) { a.Holdings[0].Shards = math.MaxInt },
+		"a shard beyond its index":  func(a *samphirepass.Announcement) { a.Holdings[0].Shard = math.MaxUint32 },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := leaf.NewRegistry(&manualClock{})
+			odd := valid
+			odd.Holdings = slices.Clone(valid.Holdings)
+			change(&odd)
+			newer, _ := r.Apply(odd, 0, false)
+			require.False(t, newer)
+			require.Empty(t, r.All())
+			newer, _ = r.Apply(valid, 0, false)
+			require.True(t, newer, "the others hold")
+		})
+	}
+}
