--- a/collector/spread.go
+++ b/collector/spread.go
@@ -72,7 +72,7 @@
 	for i, offer := range usable {
 		parts[i] = part{ShardPart: samphirepass.ShardPart{DataCentre: p.DataCentre}, spread: true, collector: offer, local: offer.Address == c.opts.Address}
 	}
-	assigned := c.assignShards(shards, p.DataCentre, usable)
+	assigned := c.assignedCollectors(shards, p.DataCentre, usable)
 	for _, shard := range p.Shards {
 		parts[assigned[shard]].Shards = append(parts[assigned[shard]].Shards, shard)
 	}
@@ -96,16 +96,10 @@
 	leaves     uint64
 }
 
-// assignShards returns the index of the collector of a data centre that is in charge of each shard. Each gets equal numbers of the shards
-// that have a leaf there, and of the others.
-func (c *Client) assignShards(shards []samphirepass.Service, dataCentre samphirepass.DataCentre, collectors []directory.CollectorOffer) []int {
-	if len(shards) == 0 {
-		return nil
-	}
-	addresses := make([]string, len(collectors))
+// assignedCollectors returns the result of assignShards, from the cache if it is there. The shards must be a list that does not change.
+func (c *Client) assignedCollectors(shards []samphirepass.Service, dataCentre samphirepass.DataCentre, collectors []directory.CollectorOffer) []int {
 	d := xxhash.New()
-	for i, offer := range collectors {
-		addresses[i] = offer.Address
+	for _, offer := range collectors {
 		// Writing to a hash cannot fail.
 		_, _ = d.WriteString(offer.Address + "\x00")
 	}
@@ -118,6 +112,18 @@
 	if len(c.assignments.entries) >= maxAssignments || c.assignments.entries == nil {
 		c.assignments.entries = map[assignmentKey][]int{}
 	}
+	assigned := c.assignShards(shards, dataCentre, collectors)
+	c.assignments.entries[key] = assigned
+	return assigned
+}
+
+// assignShards returns the index of the collector of a data centre that is in charge of each shard. Each gets equal numbers of the shards
+// that have a leaf there, and of the others.
+func (c *Client) assignShards(shards []samphirepass.Service, dataCentre samphirepass.DataCentre, collectors []directory.CollectorOffer) []int {
+	addresses := make([]string, len(collectors))
+	for i, offer := range collectors {
+		addresses[i] = offer.Address
+	}
 	var local, remote []int
 	for i, s := range shards {
 		if slices.ContainsFunc(c.opts.Registry.Serving(s), func(reg leaf.Registration) bool { return reg.DataCentre == dataCentre }) {
@@ -136,7 +142,6 @@
 			assigned[indices[j]] = collector
 		}
 	}
-	c.assignments.entries[key] = assigned
 	return assigned
 }
 
