--- a/directory/offers.go
+++ b/directory/offers.go
@@ -9,9 +9,10 @@
 	"samphirepass"
 )
 
-// entriesPerCollector is the number of entries of a data centre for each collector there. With fewer collectors their processors limit
-// the requests over many shards, and the loss of one fails requests; with more of them a request is sent in more messages.
-const entriesPerCollector = 6
+// entriesPerCollector is the number of entries of a data centre for each of its collectors, or for each part of a larger one's processor that
+// is as large as the smallest entry's. With fewer collectors their processors limit the requests over many shards, and the loss of one fails
+// requests; with more of them a request is sent in more messages.
+const entriesPerCollector = 5
 
 // deselectionDelayMs is how long an entry stays prepared for the requests of others after it was last selected to collect: others learn
 // later that it is not selected any more.
@@ -45,19 +46,20 @@
 }
 
 // selectCollectors returns the offers of the entries that are much larger than the smallest one and, in each data centre, of so many others
-// that there is one for each entriesPerCollector entries. A single one that is no larger than the others could not relieve them. Sources
-// with the same followers select the same ones.
+// that all together have the cores of one for each entriesPerCollector entries. A single one that is no larger than the others could not
+// relieve them. Sources with the same followers select the same ones.
 func selectCollectors(offers []CollectorOffer, entries map[samphirepass.DataCentre]int, smallest samphirepass.Capacity) []CollectorOffer {
 	slices.SortFunc(offers, func(a, b CollectorOffer) int {
 		return cmp.Or(cmp.Compare(b.Capacity.Cores, a.Capacity.Cores), cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)))
 	})
-	selected := map[samphirepass.DataCentre]int{}
+	selectedCores := map[samphirepass.DataCentre]float64{}
 	return slices.DeleteFunc(offers, func(offer CollectorOffer) bool {
 		wanted := entries[offer.DataCentre] / entriesPerCollector
-		if (wanted < 2 || selected[offer.DataCentre] >= wanted) && !offer.Capacity.SuitsOffloadFrom(smallest) {
+		enough := wanted < 2 || selectedCores[offer.DataCentre] >= float64(wanted)*smallest.Cores
+		if enough && !offer.Capacity.SuitsOffloadFrom(smallest) {
 			return true
 		}
-		selected[offer.DataCentre]++
+		selectedCores[offer.DataCentre] += offer.Capacity.Cores
 		return false
 	})
 }
