--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"syscall"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/semaphore"
@@ -184,12 +183,6 @@
 	pc.close()
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeoutMs.Duration())
 	defer cancel()
-	// A leaf that still runs counts the old connection until it has noticed its end.
-	select {
-	case <-time.After(reopenDelayMs.Duration()):
-	case <-ctx.Done():
-		return false
-	}
 	return errors.Is(pc.connect(ctx, to.Address), syscall.ECONNREFUSED)
 }
 
