policy: Let entries relieve collectors where there are few

Before, the entries, whose processors are idle, asked the leaves themselves.

The rule now needs four collectors that send frames.

--- a/policy/collect.go
+++ b/policy/collect.go
@@ -20,6 +20,9 @@
 	// remoteCollectorCost is the cost of the one merged answer that a collector in another data centre sends.
 	remoteShardCost     = 4.0
 	remoteCollectorCost = 0.2
+	// overloadMinCollectors is the number of collectors from which an overload stays with them: so many entries have them that these could not
+	// ask all leaves themselves.
+	overloadMinCollectors = 4
 	// similarCoverage is the share of the most shards that a data centre covers from which another one suits as well: entries that all chose
 	// the one with the most would overload its collectors.
 	similarCoverage = 0.75
@@ -50,7 +53,8 @@
 }
 
 // UsableCollectors reports which collectors of a data centre may be sent requests now. If most of those that are connected and send frames
-// seem stalled or failed, the load is too high, not a collector broken: avoiding them would only add to the load of the others.
+// seem stalled or failed, the load is too high, not a collector broken: avoiding them would only add to the load of the others. Where there
+// are few, entries have the processors to ask the leaves themselves.
 func UsableCollectors(candidates []samphirepass.CollectorCandidate) []bool {
 	usable, alive := make([]bool, len(candidates)), make([]bool, len(candidates))
 	usableCount, aliveCount := 0, 0
@@ -65,7 +69,7 @@
 			aliveCount++
 		}
 	}
-	if 2*usableCount < aliveCount {
+	if aliveCount >= overloadMinCollectors && 2*usableCount < aliveCount {
 		return alive
 	}
 	return usable
