--- a/policy/collect.go
+++ b/policy/collect.go
@@ -20,8 +20,8 @@
 	// remoteCollectorCost is the cost of the one merged answer that a collector in another data centre sends.
 	remoteShardCost     = 4.0
 	remoteCollectorCost = 0.2
-	// overloadMinCollectors is the number of collectors from which an overload stays with them: so many entries have them that these could not
-	// ask all leaves themselves.
+	// overloadMinCollectors is the number of collectors from which entries do not ask all leaves themselves when most of the collectors are
+	// overloaded: for as many entries the leaves have too few connections.
 	overloadMinCollectors = 4
 	// similarCoverage is the share of the most shards that a data centre covers from which another one suits as well: entries that all chose
 	// the one with the most would overload its collectors.
