--- a/collector/client.go
+++ b/collector/client.go
@@ -272,7 +272,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, d.Request.DeadlineMs.Duration())
 	defer cancel()
 	if d.PartialAfterMs > 0 {
-		go cancelIfSilent(callCtx, cancel, peerClient, d.PartialAfterMs+d.GraceMs+overdueMarginMs)
+		go cancelIfSilent(callCtx, cancel, c.opts.Clock, peerClient, d.PartialAfterMs+d.GraceMs+overdueMarginMs)
 	}
 	began := c.startRequest(address)
 	req := collectRequest{Delivery: withElapsed(d, roundTripMs)}
@@ -316,7 +316,8 @@
 }
 
 // cancelIfSilent cancels a call once its answer is overdue and the connection is lost or silent. overdue is the time from now.
-func cancelIfSilent(ctx context.Context, cancel context.CancelFunc, peerClient *peer.Client, overdue samphirepass.Millis) {
+func cancelIfSilent(ctx context.Context, cancel context.CancelFunc, clock samphirepass.Clock, peerClient *peer.Client, overdue samphirepass.Millis) {
+	began := clock.Now()
 	t := time.NewTimer(overdue.Duration())
 	defer t.Stop()
 	for {
@@ -325,7 +326,8 @@
 		case <-ctx.Done():
 			return
 		}
-		if silent, connected := peerClient.SinceLastFrame(); !connected || silent > policy.CollectorSilenceMs {
+		// Before the request the collector had less reason to send frames.
+		if silent, connected := peerClient.SinceLastFrame(); !connected || min(silent, clock.Now()-began) > policy.CollectorSilenceMs {
 			cancel()
 			return
 		}
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -16,9 +16,11 @@
 )
 
 const (
-	// serverHeartbeatMs is the time between heartbeats of the end that accepted the connection, by which its clients notice at once that it
-	// has fallen silent. clientHeartbeatMs is that of the end that dialled: a process may be dialled by hundreds of others.
-	serverHeartbeatMs samphirepass.Millis = 400
+	// busyHeartbeatMs is the time between heartbeats of the end that accepted the connection while it has not answered a request, by which its
+	// clients notice at once that it has fallen silent. idleHeartbeatMs is that time otherwise, and clientHeartbeatMs that of the end that
+	// dialled: a process may have a connection to each of a hundred others.
+	busyHeartbeatMs   samphirepass.Millis = 400
+	idleHeartbeatMs   samphirepass.Millis = 700
 	clientHeartbeatMs samphirepass.Millis = 1500
 	// clientTimeoutMs and serverTimeoutMs are the times without a received frame after which the end that dialled and the one that accepted
 	// close a connection.
@@ -74,8 +76,11 @@
 	done       chan struct{}
 	closeOnce  sync.Once
 	clock      samphirepass.SystemClock
-	// heartbeatMs is the time between heartbeats, timeoutMs that without a received frame after which the connection is closed.
-	heartbeatMs, timeoutMs samphirepass.Millis
+	// becameBusy receives a value when the first unanswered request of the other end has arrived.
+	becameBusy chan struct{}
+	// idleMs and busyMs are the times between heartbeats without and with unanswered requests of the other end, timeoutMs is that without a
+	// received frame after which the connection is closed.
+	idleMs, busyMs, timeoutMs samphirepass.Millis
 	// lastRead is when the last frame was received, or else when the connection was opened.
 	lastRead atomicMillis
 	// lastSent is when the last frame was queued. A heartbeat is skipped shortly after another frame.
@@ -101,14 +106,14 @@
 // newClientConn returns the end of a connection that this process has dialled.
 func newClientConn(ws *websocket.Conn, h *Handlers) *conn {
 	c := newConn(ws, h)
-	c.heartbeatMs, c.timeoutMs = clientHeartbeatMs, clientTimeoutMs
+	c.idleMs, c.busyMs, c.timeoutMs = clientHeartbeatMs, clientHeartbeatMs, clientTimeoutMs
 	return c
 }
 
 // newServerConn returns the end of a connection that this process has accepted.
 func newServerConn(ws *websocket.Conn, h *Handlers) *conn {
 	c := newConn(ws, h)
-	c.heartbeatMs, c.timeoutMs = serverHeartbeatMs, serverTimeoutMs
+	c.idleMs, c.busyMs, c.timeoutMs = idleHeartbeatMs, busyHeartbeatMs, serverTimeoutMs
 	return c
 }
 
@@ -116,7 +121,7 @@
 	ws.SetReadLimit(maxFrameBytes)
 	c := &conn{
 		ws: ws, handlers: h, sendQueue: make(chan queuedFrame, sendQueueFrames),
-		done: make(chan struct{}), pending: map[uint64]chan frame{}, incoming: map[uint64]context.CancelFunc{},
+		done: make(chan struct{}), becameBusy: make(chan struct{}, 1), pending: map[uint64]chan frame{}, incoming: map[uint64]context.CancelFunc{},
 	}
 	c.lastRead.store(c.clock.Now())
 	return c
@@ -174,22 +179,31 @@
 
 // heartbeatLoop sends heartbeats and closes the connection once the other end has been silent for timeoutMs.
 func (c *conn) heartbeatLoop() {
-	t := time.NewTicker(c.heartbeatMs.Duration())
+	t := time.NewTimer(c.idleMs.Duration())
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
-			if c.clock.Now()-c.lastRead.load() > c.timeoutMs {
-				c.close()
-				return
-			}
-			if c.clock.Now()-c.lastSent.load() >= c.heartbeatMs/2 {
-				// A failed send closes the connection, which ends this loop.
-				_ = c.send(frame{})
-			}
+		case <-c.becameBusy:
+			t.Reset(c.busyMs.Duration())
+			continue
 		case <-c.done:
 			return
 		}
+		now := c.clock.Now()
+		if now-c.lastRead.load() > c.timeoutMs {
+			c.close()
+			return
+		}
+		interval := c.idleMs
+		if c.unanswered.Load() > 0 {
+			interval = c.busyMs
+		}
+		if now-c.lastSent.load() >= interval/2 {
+			// A failed send closes the connection, which ends this loop.
+			_ = c.send(frame{})
+		}
+		t.Reset(interval.Duration())
 	}
 }
 
@@ -226,7 +240,12 @@
 		c.mu.Lock()
 		c.incoming[f.ID] = cancel
 		c.mu.Unlock()
-		c.unanswered.Add(1)
+		if c.unanswered.Add(1) == 1 {
+			select {
+			case c.becameBusy <- struct{}{}:
+			default:
+			}
+		}
 		go c.handle(ctx, f)
 	}
 }
--- a/policy/collect.go
+++ b/policy/collect.go
@@ -12,8 +12,10 @@
 	// collectorStallMs is the age of an unanswered request above which a collector is skipped:
 	// answers are due within their route's latency target, a fraction of a second.
 	collectorStallMs samphirepass.Millis = 400
-	// CollectorSilenceMs is the time without a frame, two heartbeats, after which a collector is skipped.
+	// CollectorSilenceMs is the time without a frame, two heartbeats, after which a collector that has a request is silent.
 	CollectorSilenceMs samphirepass.Millis = 800
+	// idleSilenceMs is the same for a collector that has none, which sends fewer heartbeats.
+	idleSilenceMs samphirepass.Millis = 1200
 	// collectorCooldownMs is how long a collector is skipped after a failure.
 	collectorCooldownMs samphirepass.Millis = 1000
 	// remoteShardCost is the cost of collecting all shards from other data centres, as each leaf's answer then crosses between data centres;
@@ -37,7 +39,7 @@
 	switch {
 	case !c.Connected:
 		return samphirepass.CollectorDisconnected
-	case c.SilentMs > CollectorSilenceMs:
+	case c.SilentMs > idleSilenceMs, c.SilentMs > CollectorSilenceMs && c.OldestInFlightMs > CollectorSilenceMs:
 		return samphirepass.CollectorSilent
 	case c.OldestInFlightMs > collectorStallMs:
 		return samphirepass.CollectorStalled
