--- a/collector/client.go
+++ b/collector/client.go
@@ -296,7 +296,7 @@
 }
 
 // collectRest waits for the complete result of a request of which a collector has returned the answers so far. Without it these count. If ctx
-// has ended, the collector is told that nobody waits.
+// has ended, it releases the delivery at the collector instead.
 func (c *Client) collectRest(ctx context.Context, address string, id samphirepass.RequestID, partial collectReply) leaf.DeliveryResult {
 	if ctx.Err() != nil {
 		c.opts.Peers.Get(address).Notify(kindRelease, collectRestRequest{Unfinished: partial.Unfinished})
