--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,7 +16,7 @@
 	exitHeld    = 0
 	exitBroken  = 1
 	exitCannot  = 2
-	usageString = "usage: review-standin [-trouble=false] -record FILE departure|seeds|planned"
+	usageString = "usage: review-standin [-trouble=false] -record FILE departure|seeds|planned|names"
 )
 
 // errBroken means that the system broke the rule of the case.
@@ -27,6 +27,7 @@
 	"departure": playDeparture,
 	"seeds":     playSeeds,
 	"planned":   playPlanned,
+	"names":     playNames,
 }
 
 func main() {
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -22,6 +22,7 @@
 	catchUp       = 4 * time.Second
 	contactWindow = 4 * time.Second
 	drainBound    = 3 * time.Second
+	configApply   = 3 * time.Second
 	ackBound      = 5 * time.Second
 	graceS        = 6
 	heartbeat     = 1200 * time.Millisecond
