review: case 3, requests that wait for a leaf are cut with no answer at the end of a planned stop

Cause: a gateway that stops takes requests whatever time they may last for 2.8 s, and when its stop time is over it exits without refusing those that still wait for a connection to a leaf. The script sends 38 requests that may not be repeated to one machine, whose leaf needs 7.6 s for them, and stops the machine in calm.

--- a/review/standin/leaf.go
+++ b/review/standin/leaf.go
@@ -22,12 +22,15 @@
 type leaf struct {
 	rec               *record
 	id, service, zone string
-	listener          net.Listener
-	server            *http.Server
-	born              int64
-	registrars        []string
-	client            *http.Client
-	stop              context.CancelFunc
+	// slots is the number of requests that the leaf announces to process concurrently, work the time that it works on each.
+	slots      int
+	work       time.Duration
+	listener   net.Listener
+	server     *http.Server
+	born       int64
+	registrars []string
+	client     *http.Client
+	stop       context.CancelFunc
 
 	mu       sync.Mutex
 	sequence int
@@ -46,17 +49,22 @@
 	return req, nil
 }
 
-// addLeaf starts a leaf that announces itself to the registrars of its zone first.
+// addLeaf starts a quick leaf.
 func (p *platform) addLeaf(id, service, zone string) (*leaf, error) {
+	return p.addLeafOf(&leaf{id: id, service: service, zone: zone, slots: 3, work: 5 * time.Millisecond})
+}
+
+// addLeafOf starts a leaf that announces itself to the registrars of its zone first.
+func (p *platform) addLeafOf(l *leaf) (*leaf, error) {
 	p.nextHost++
 	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.2.%d:0", p.network, p.nextHost))
 	if err != nil {
 		return nil, fmt.Errorf("listen for leaf: %w", err)
 	}
-	l := &leaf{rec: p.rec, id: id, service: service, zone: zone, listener: listener, born: time.Now().UnixMilli(), client: &http.Client{Timeout: time.Second}}
+	l.rec, l.listener, l.born, l.client = p.rec, listener, time.Now().UnixMilli(), &http.Client{Timeout: time.Second}
 	for _, near := range []bool{true, false} {
 		for _, m := range p.registrars() {
-			if (m.zone == zone) == near {
+			if (m.zone == l.zone) == near {
 				l.registrars = append(l.registrars, p.control(m))
 			}
 		}
@@ -89,7 +97,7 @@
 	l.mu.Lock()
 	l.sequence++
 	body, _ := json.Marshal(map[string]any{
-		"Service": l.service, "Address": l.listener.Addr().String(), "Zone": l.zone, "Version": "v1", "MaxConcurrency": 3, "State": "ready",
+		"Service": l.service, "Address": l.listener.Addr().String(), "Zone": l.zone, "Version": "v1", "MaxConcurrency": l.slots, "State": "ready",
 		"WarmupLeftMs": 0, "Sequence": l.sequence, "born": l.born,
 	})
 	l.mu.Unlock()
@@ -156,7 +164,7 @@
 		return
 	}
 	l.rec.printf("leaf %s (%s) runs request %s, sent by %s, leaving %v", l.id, l.service, id, from, leaving)
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(l.work)
 	w.Header().Set("Samphirepass-Response-Signature", l.id+"."+id)
 	_, _ = w.Write([]byte("the record of " + id))
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,7 +16,7 @@
 	exitHeld    = 0
 	exitBroken  = 1
 	exitCannot  = 2
-	usageString = "usage: review-standin [-trouble=false] -record FILE departure|seeds|planned|names"
+	usageString = "usage: review-standin [-trouble=false] -record FILE departure|seeds|planned|names|stop"
 )
 
 // errBroken means that the system broke the rule of the case.
@@ -28,6 +28,7 @@
 	"seeds":     playSeeds,
 	"planned":   playPlanned,
 	"names":     playNames,
+	"stop":      playStop,
 }
 
 func main() {
