--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -11,7 +11,7 @@
 	trouble=false
 fi
 # The stand-in ends its processes at SIGTERM.
-timeout -k 4 112 target/review-standin -trouble=$trouble -record review/4/record.txt names
+timeout -k 10 105 target/review-standin -trouble=$trouble -record review/4/record.txt names
 status=$?
 if [ "$status" -gt 2 ]; then
 	status=2
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -60,7 +60,7 @@
 			if served = p.request(ctx, m, fmt.Sprintf("warm-%s-%d", m.name, try)); served {
 				break
 			}
-			time.Sleep(100 * time.Millisecond)
+			pause(ctx, 100*time.Millisecond)
 		}
 		if !served {
 			return leaves, fmt.Errorf("machine %s does not serve", m.name)
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(contactWindow + 2*time.Second)
+	pause(ctx, contactWindow+2*time.Second)
 	leaver, taker := leaves[2], p.machine("vie-a-2")
 	if !leaver.depart(ctx, p.control(taker)) {
 		return fmt.Errorf("machine %s did not acknowledge the DELETE", taker.name)
@@ -91,10 +91,10 @@
 	p.rec.printf("machine %s acknowledges that leaf %s is gone", taker.name, leaver.id)
 	if trouble {
 		p.kill(taker)
-		time.Sleep(500 * time.Millisecond)
+		pause(ctx, 500*time.Millisecond)
 		p.start(taker, false)
 	}
-	time.Sleep(time.Until(acked.Add(drainBound + 200*time.Millisecond)))
+	pause(ctx, time.Until(acked.Add(drainBound+200*time.Millisecond)))
 	for n := range 30 {
 		for _, m := range p.machines {
 			if m != taker {
@@ -114,13 +114,11 @@
 }
 
 // replace removes a machine with a disk for good and starts an empty one at another address a second later.
-func (p *platform) replace(m *machine, name string) *machine {
+func (p *platform) replace(ctx context.Context, m *machine, name string) {
 	p.kill(m)
 	m.gone = true
-	time.Sleep(time.Second)
-	successor := p.addMachine(name, m.zone, true, true)
-	p.start(successor, false)
-	return successor
+	pause(ctx, time.Second)
+	p.start(p.addMachine(name, m.zone, true, true), false)
 }
 
 // readNewest reads the configuration back; the answer must come and be version want at least.
@@ -142,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(contactWindow)
+	pause(ctx, contactWindow)
 	p.seeds = nil
 	for _, m := range p.machines {
 		if m.disk == "" {
@@ -156,10 +154,10 @@
 	version := 1
 	for _, zone := range []string{"bts-a", "brq-a"} {
 		if trouble {
-			p.replace(p.machine(zone+"-1"), zone+"-3")
+			p.replace(ctx, p.machine(zone+"-1"), zone+"-3")
 		}
 		// The successor has CatchUpS after its start, and a margin.
-		time.Sleep(catchUp + 3*time.Second)
+		pause(ctx, catchUp+3*time.Second)
 		version++
 		if err := p.putConfig(ctx, version, config(version), ackBound); err != nil {
 			p.rec.printf("%v", err)
@@ -178,11 +176,11 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(contactWindow)
+	pause(ctx, contactWindow)
 	old := p.machine("bts-a-1")
 	p.start(p.addMachine("bts-a-3", "bts-a", true, true), false)
 	// The successor has CatchUpS after its start, and a margin.
-	time.Sleep(catchUp + time.Second)
+	pause(ctx, catchUp+time.Second)
 	p.rec.printf("machine %s gets SIGTERM", old.name)
 	old.signal(syscall.SIGTERM)
 	if !old.awaitExit(graceS * time.Second) {
@@ -194,15 +192,15 @@
 	if err := p.putConfig(ctx, 2, config(2), ackBound); err != nil {
 		return err
 	}
-	time.Sleep(500 * time.Millisecond)
+	pause(ctx, 500*time.Millisecond)
 	lost := p.machine("brq-a-1")
 	if trouble {
 		if err := p.loseDisk(lost); err != nil {
 			return err
 		}
-		time.Sleep(time.Second)
+		pause(ctx, time.Second)
 		p.start(lost, false)
 	}
-	time.Sleep(catchUp)
+	pause(ctx, catchUp)
 	return p.readNewest(ctx, 2)
 }
--- a/review/standin/names.go
+++ b/review/standin/names.go
@@ -48,7 +48,7 @@
 		}
 		leaves = append(leaves, l)
 	}
-	time.Sleep(contactWindow)
+	pause(ctx, contactWindow)
 	deskName := "sync"
 	if trouble {
 		deskName = "report"
@@ -57,7 +57,7 @@
 		return err
 	}
 	// The version is due everywhere.
-	time.Sleep(configApply + time.Second)
+	pause(ctx, configApply+time.Second)
 	sent := time.Now()
 	for n := range 10 {
 		for _, m := range p.machines {
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -203,6 +203,8 @@
 	cmd := exec.Command(program, role)
 	cmd.Env = append(os.Environ(), "SAMPHIREPASS_NODE_FILE="+base+".jsonc")
 	cmd.Stdout, cmd.Stderr = log, log
+	// The process ends with this one, however this one ends.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", role, err)
 	}
@@ -351,3 +353,13 @@
 	p.rec.printf("machine %s has lost its disk", m.name)
 	return nil
 }
+
+// pause waits for d, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -80,19 +80,19 @@
 	if first := p.post(ctx, m, "first"); first.status != http.StatusOK {
 		return fmt.Errorf("machine %s does not serve", m.name)
 	}
-	time.Sleep(contactWindow)
+	pause(ctx, contactWindow)
 	ends := make([]ended, stopRequests)
 	var wg sync.WaitGroup
 	for i := range ends {
 		wg.Go(func() { ends[i] = p.post(ctx, m, fmt.Sprintf("sync-%d", i)) })
 	}
-	time.Sleep(500 * time.Millisecond)
+	pause(ctx, 500*time.Millisecond)
 	term := time.Now()
 	if trouble {
 		p.rec.printf("machine %s gets SIGTERM", m.name)
 		m.signal(syscall.SIGTERM)
 		go func() {
-			time.Sleep(graceS * time.Second)
+			pause(ctx, graceS*time.Second)
 			m.signal(syscall.SIGKILL)
 		}()
 	}
