control: Log who votes, who is silent and whom a starting disk asks

The logs named the number of voters, so that a log without a majority could not be told from one whose members don't find each other: not which disks vote, not which of them answer the leader, and not which processes an empty disk asked and what they replied.

The line of a member's state now names voters and learners and is also written when the membership changes; the leader logs which voters are silent; a starting disk logs whom it asked and the answers. A member's silence is counted in the core from its last reply.

--- a/control/dynamic.go
+++ b/control/dynamic.go
@@ -14,6 +14,8 @@
 	// silentMemberTimeoutMs is the time for which a member must be inactive before it may be removed; a member that
 	// returns later is admitted again.
 	silentMemberTimeoutMs samphirepass.Millis = 4000
+	// silentVoterLogMs is the time without an answer after which the leader logs a voter as silent.
+	silentVoterLogMs = quorum.ElectionTicksMin * TickMs
 	// routingTryTimeoutMs bounds one try of PutRouting or Routing, so that a silent member uses up only a part of the
 	// caller's deadline.
 	routingTryTimeoutMs samphirepass.Millis = 400
@@ -24,7 +26,7 @@
 
 // reconcileDynamic removes a silent member or admits a new one, and reports whether it proposed a change.
 func (l *loop) reconcileDynamic(members quorum.Members) bool {
-	l.countSilentTicks(members)
+	l.logSilentVoters(members)
 	if m, ok := l.removableMember(members); ok {
 		return l.proposeMembers(members.Without(m.VM), "remove silent member", m)
 	}
@@ -43,30 +45,31 @@
 	return true
 }
 
-// countSilentTicks updates silentTicks for the members and drops those that are no longer members.
-func (l *loop) countSilentTicks(members quorum.Members) {
-	if l.silentTicks == nil {
-		l.silentTicks = map[samphirepass.VM]int{}
-	}
+// silentMs returns the time for which a member has not answered this leader.
+func (l *loop) silentMs(m quorum.Member) samphirepass.Millis {
+	return samphirepass.Millis(l.core.SilentTicks(m.VM)) * TickMs
+}
+
+// logSilentVoters logs which voters have not answered this leader for silentVoterLogMs, if that has changed.
+func (l *loop) logSilentVoters(members quorum.Members) {
+	var silent []string
 	for _, m := range members {
-		if m.VM == l.node.opts.VM || l.core.Active(m.VM) {
-			delete(l.silentTicks, m.VM)
-			continue
+		if m.Voter && l.silentMs(m) >= silentVoterLogMs {
+			silent = append(silent, string(m.VM))
 		}
-		l.silentTicks[m.VM] += membershipCheckTicks
 	}
-	for vm := range l.silentTicks {
-		if _, ok := members.Find(vm); !ok {
-			delete(l.silentTicks, vm)
-		}
+	if slices.Equal(silent, l.loggedSilent) {
+		return
 	}
+	l.loggedSilent = silent
+	l.node.opts.Log("%d of %d voters answer; silent for %.0f ms or more: %q.", members.VoterCount()-len(silent), members.VoterCount(), silentVoterLogMs, silent)
 }
 
 // removableMember returns a member that has been inactive for silentMemberTimeoutMs. A voter is returned only if at least
 // Options.Voters voters remain without it or a learner is ready to replace it.
 func (l *loop) removableMember(members quorum.Members) (quorum.Member, bool) {
 	for _, m := range members {
-		if samphirepass.Millis(l.silentTicks[m.VM])*TickMs < silentMemberTimeoutMs {
+		if l.silentMs(m) < silentMemberTimeoutMs {
 			continue
 		}
 		if !m.Voter || members.VoterCount() > l.node.opts.Voters || l.learnerReady(members) {
--- a/control/handshake.go
+++ b/control/handshake.go
@@ -43,6 +43,7 @@
 				return bootstrap, nil
 			}
 		}
+		n.logHellos(core, replies)
 		select {
 		case <-time.After(handshakeRetryMs.Duration()):
 		case <-ctx.Done():
@@ -51,6 +52,38 @@
 	}
 }
 
+// logHellos logs which processes were asked during the handshake and what they replied, if that has changed.
+func (n *Node) logHellos(core *quorum.Core, replies []helloReply) {
+	var asked, answered []string
+	for _, m := range n.otherProcesses(core.Members()) {
+		asked = append(asked, m.Address)
+	}
+	for _, r := range replies {
+		state := "empty"
+		switch {
+		case r.Diskless:
+			state = "without a disk"
+		case r.Leads:
+			state = "leads"
+		case r.Initialised:
+			state = "holds the log"
+		}
+		answered = append(answered, fmt.Sprintf("%s %s", r.address, state))
+	}
+	slices.Sort(asked)
+	slices.Sort(answered)
+	text := fmt.Sprintf("asked %q, answers %q", asked, answered)
+	if text == n.loggedHellos {
+		return
+	}
+	n.loggedHellos = text
+	if core.Initialised() {
+		n.opts.Log("Disk holds a log and waits for a majority: %s; %s.", text, describeMembers(core.Members()))
+		return
+	}
+	n.opts.Log("Empty disk waits for a process that holds the log: %s.", text)
+}
+
 // hasMajority reports whether this member and those that replied are a majority of the given membership or, if a leader
 // replied, of the leader's. With dynamic membership it counts the replies of voters only.
 func (n *Node) hasMajority(members quorum.Members, replies []helloReply) bool {
--- a/control/loop.go
+++ b/control/loop.go
@@ -44,8 +44,8 @@
 	// confirmedReads wait until their index is applied.
 	confirmedReads []confirmedRead
 	ticks          int
-	// silentTicks counts, while this member leads, the ticks since each member was last active.
-	silentTicks map[samphirepass.VM]int
+	// loggedSilent holds the voters that were last logged as silent.
+	loggedSilent []string
 	// writingSnapshot is set while a snapshot is being written; snapshotErr ends the loop after a failed one.
 	writingSnapshot bool
 	snapshotErr     error
--- a/control/node.go
+++ b/control/node.go
@@ -90,6 +90,10 @@
 	processVMs map[string]samphirepass.VM
 	// loggedState describes the role, term and leader that were logged last.
 	loggedState string
+	// loggedMembers describes the membership that was logged last.
+	loggedMembers string
+	// loggedHellos describes the answers to hellos that were logged last.
+	loggedHellos string
 	// leaderAge is the time since leader, the current leader, was last heard from; leader is zero if none is known.
 	leaderAge samphirepass.Millis
 	leader    quorum.Member
@@ -186,13 +190,15 @@
 }
 
 // publishCoreState copies the state of the core that callers on other goroutines read, and logs a change of role,
-// term or leader.
+// term, leader or membership.
 func (n *Node) publishCoreState(c *quorum.Core) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if state := fmt.Sprintf("%s in term %d, leader %q", c.Role(), c.Term(), c.Leader()); state != n.loggedState {
-		n.loggedState = state
-		n.opts.Log("Member is %s; commit index %d, last index %d, %d voters.", state, c.CommitIndex(), c.LastIndex(), c.Members().VoterCount())
+	state := fmt.Sprintf("%s in term %d, leader %q", c.Role(), c.Term(), c.Leader())
+	members := describeMembers(c.Members())
+	if state != n.loggedState || members != n.loggedMembers {
+		n.loggedState, n.loggedMembers = state, members
+		n.opts.Log("Member is %s; commit index %d, last index %d, %s.", state, c.CommitIndex(), c.LastIndex(), members)
 	}
 	n.members = c.Members()
 	n.leaderAge = unknownLeaderAgeMs
@@ -203,6 +209,19 @@
 	}
 }
 
+// describeMembers names the voters and the learners of a membership.
+func describeMembers(members quorum.Members) string {
+	var voters, learners []string
+	for _, m := range members {
+		if m.Voter {
+			voters = append(voters, string(m.VM))
+		} else {
+			learners = append(learners, string(m.VM))
+		}
+	}
+	return fmt.Sprintf("%d voters %q, learners %q", len(voters), voters, learners)
+}
+
 // Leader returns the current leader and the time since it was last heard from; without a known leader it returns
 // a zero member and a very large age.
 func (n *Node) Leader() (quorum.Member, samphirepass.Millis) {
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -48,6 +48,8 @@
 	matchIndex, nextIndex samphirepass.Revision
 	// recentlyActive is set by each reply and cleared by checkQuorum.
 	recentlyActive bool
+	// silentTicks counts the ticks since the last reply.
+	silentTicks int
 	// readRound is the latest read round that the member answered.
 	readRound uint64
 }
@@ -179,6 +181,14 @@
 	return p != nil && p.recentlyActive
 }
 
+// SilentTicks returns the number of ticks for which vm has not answered this leader, from the start of its term at the earliest.
+func (c *Core) SilentTicks(vm samphirepass.VM) int {
+	if p := c.peers[vm]; p != nil {
+		return p.silentTicks
+	}
+	return 0
+}
+
 // Bootstrap starts a new log on an empty member. The first entry holds members, in which this member must be the only voter.
 func (c *Core) Bootstrap(members Members) {
 	c.hardState.Term = 1
@@ -249,6 +259,9 @@
 
 func (c *Core) tickLeader() {
 	c.ticksSinceLeader = 0
+	for _, p := range c.peers {
+		p.silentTicks++
+	}
 	c.quorumCheckTicks++
 	if c.quorumCheckTicks >= ElectionTicksMin {
 		c.quorumCheckTicks = 0
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -207,6 +207,7 @@
 		return
 	}
 	p.recentlyActive = true
+	p.silentTicks = 0
 	p.readRound = max(p.readRound, m.ReadRound)
 	if m.Reject {
 		p.nextIndex = max(p.matchIndex, min(m.Index, c.log.lastIndex())) + 1
