control: Ask every known registrar for the log, not the seeds alone

Cause: an empty disk said hello to its seeds and to those that their replies name; a registrar without a disk names none. The directory follower of the same process knew the members.

Change: a member says hello to the registrars that the directory knows as well.

--- a/control/handshake.go
+++ b/control/handshake.go
@@ -150,7 +150,8 @@
 }
 
 // otherProcesses returns the known control processes except this one: the given members, or the configured ones if there
-// are none, and with dynamic membership also the seeds and the processes learned from hellos.
+// are none, and with dynamic membership also the seeds, which may all be without a disk, and the processes learned from hellos and by
+// Options.KnownProcesses.
 func (n *Node) otherProcesses(members quorum.Members) []quorum.Member {
 	var others []quorum.Member
 	add := func(m quorum.Member) {
@@ -171,6 +172,11 @@
 	for _, seed := range n.opts.Seeds {
 		add(quorum.Member{Address: seed})
 	}
+	if n.opts.KnownProcesses != nil {
+		for _, address := range n.opts.KnownProcesses() {
+			add(quorum.Member{Address: address})
+		}
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for address, vm := range n.processVMs {
--- a/control/node.go
+++ b/control/node.go
@@ -45,6 +45,9 @@
 	// Seeds are the peer addresses of some control processes, used instead of Members for dynamic membership:
 	// processes join when they send hellos and are removed when they stay silent.
 	Seeds []string
+	// KnownProcesses returns the peer addresses of further control processes, as far as this process has discovered them by other means than
+	// hellos; it may be nil.
+	KnownProcesses func() []string
 	// AllowBootstrap lets the seeds bootstrap a new log; otherwise an empty disk waits for members that hold one.
 	AllowBootstrap bool
 	// Voters is the number of voters that a new log waits for. With dynamic membership, a silent voter is removed only
--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -302,8 +302,8 @@
 		return fmt.Errorf("open data folder: %w", err)
 	}
 	n := control.NewNode(control.Options{
-		VM: r.cfg.VM, Address: r.cfg.PeerAddress(), Seeds: r.cfg.SeedPeers(), AllowBootstrap: r.cfg.AllowBootstrap, Voters: r.cfg.Voters(),
-		Files: folder, Clock: r.clock, Peers: r.peers, Log: r.log.For("control").Infof,
+		VM: r.cfg.VM, Address: r.cfg.PeerAddress(), Seeds: r.cfg.SeedPeers(), KnownProcesses: r.follower.ControlAddresses, AllowBootstrap: r.cfg.AllowBootstrap,
+		Voters: r.cfg.Voters(), Files: folder, Clock: r.clock, Peers: r.peers, Log: r.log.For("control").Infof,
 	})
 	n.Register(r.handlers)
 	r.member.Store(n)
