gateway, leaf: Answer the requests that still wait when a stop ends

Cause: a request that waits for a connection ends only with its deadline. A stop refused new requests that may outlast it, not those taken before. Ruled out by the logs: refusals that are written and lost (34 of 35 cut requests have no line).

Change: the end of the process is announced to the requests in flight.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -66,8 +66,8 @@
 	metricsServer   *web.Server
 	startedAt       samphirepass.Millis
 	stopping        atomic.Bool
-	// cutAt is when the requests in flight are cut, in milliseconds of clock, 0 until only open connections are served.
-	cutAt atomic.Int64
+	// ending begins when only open connections are served.
+	ending *gateway.Ending
 	// wasReady is set once the gateway has reported ready.
 	wasReady atomic.Bool
 
@@ -81,7 +81,7 @@
 	g := &Gateway{
 		cfg: cfg, log: log, clock: clock, registry: leaf.NewRegistry(clock), metrics: metrics.NewMetrics(),
 		peers: &peer.Pool{LocalAddr: cfg.LocalIP()}, reader: platform.RoutingReader{}, startedAt: clock.Now(),
-		budgets: map[samphirepass.Service]samphirepass.Budget{},
+		budgets: map[samphirepass.Service]samphirepass.Budget{}, ending: gateway.NewEnding(clock),
 	}
 	g.pool = leaf.NewPool(clock, routingShares{g})
 	quarantine := policy.NewQuarantine(clock)
@@ -101,7 +101,7 @@
 		Address: cfg.CollectAddress(), Collecting: g.follower.IsCollector, Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
 	})
 	g.dispatcher = gateway.NewDispatcher(gateway.Options{
-		Deliverer: g.collectorClient, CutIn: g.cutIn, Quarantine: quarantine, OnSuspicion: g.follower.ReportSuspicion, Metrics: g.metrics, Clock: clock, Log: log.For("gateway"),
+		Deliverer: g.collectorClient, Ending: g.ending, Quarantine: quarantine, OnSuspicion: g.follower.ReportSuspicion, Metrics: g.metrics, Clock: clock, Log: log.For("gateway"),
 	})
 	return g, g.listen()
 }
@@ -267,7 +267,8 @@
 	remainingMs := g.cfg.StopMs - stopMarginMs
 	noticeMs := min(balancerNoticeMs, remainingMs/2)
 	time.Sleep(noticeMs.Duration())
-	g.cutAt.Store(int64(g.clock.Now() + remainingMs - noticeMs - answerMarginMs))
+	// Until now a request was taken whatever time it may last: most are answered long before.
+	g.ending.Begin(remainingMs - noticeMs - answerMarginMs)
 	ctx, cancel := context.WithTimeout(context.Background(), (remainingMs - noticeMs).Duration())
 	defer cancel()
 	err := g.clientServer.Drain(ctx, stopMarginMs)
@@ -281,17 +282,10 @@
 	return nil
 }
 
-// cutIn returns the time until the requests in flight are cut, and reports whether new connections have ended. Until then a request is
-// taken whatever time it may last: most are answered long before.
-func (g *Gateway) cutIn() (samphirepass.Millis, bool) {
-	at := g.cutAt.Load()
-	return samphirepass.Millis(at) - g.clock.Now(), at != 0
-}
-
 // refusesParts reports whether this gateway takes no more parts of others' requests. When it begins to stop, others still believe that it
 // collects, and there is time to answer them.
 func (g *Gateway) refusesParts() bool {
-	_, ending := g.cutIn()
+	_, ending := g.ending.CutIn()
 	return ending
 }
 
--- a/daemon/gateway_test.go
+++ b/daemon/gateway_test.go
@@ -6,15 +6,16 @@
 	"github.com/stretchr/testify/require"
 
 	"samphirepass"
+	"samphirepass/gateway"
 )
 
 // TestProofStoppingCollectorTakesParts guards against parts of requests that fail at a collector that has just begun to stop, as entries learn
 // of that only with the next reply of the directory.
 func TestProofStoppingCollectorTakesParts(t *testing.T) {
-	g := &Gateway{clock: samphirepass.SystemClock{}}
+	g := &Gateway{ending: gateway.NewEnding(samphirepass.SystemClock{})}
 	require.False(t, g.refusesParts())
 	g.stopping.Store(true)
 	require.False(t, g.refusesParts(), "others do not know yet")
-	g.cutAt.Store(1000)
+	g.ending.Begin(1000)
 	require.True(t, g.refusesParts(), "the requests in flight end")
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync/atomic"
@@ -51,9 +52,8 @@
 // Options set up a Dispatcher.
 type Options struct {
 	Deliverer Deliverer
-	// CutIn returns the time until the requests in flight are cut, and reports whether requests that may last longer are refused; nil means
-	// that none are.
-	CutIn func() (samphirepass.Millis, bool)
+	// Ending announces the end of the process; nil means that it never ends.
+	Ending *Ending
 	// Quarantine holds what is known of requests that crash leaves; nil means that there are none.
 	Quarantine *policy.Quarantine
 	// OnSuspicion is called with what this gateway adds to Quarantine, for the other gateways.
@@ -163,9 +163,15 @@
 	if refusal == nil {
 		deliverCtx, cancel := context.WithTimeout(ctx, delivery.Request.DeadlineMs.Duration())
 		defer cancel()
+		if d.opts.Ending != nil {
+			var release context.CancelFunc
+			deliverCtx, release = d.opts.Ending.bound(deliverCtx, &delivery)
+			defer release()
+		}
 		result = d.opts.Deliverer.Deliver(deliverCtx, delivery)
 		d.recordCrashes(delivery, result)
 		answer, refusal = buildAnswer(deliverCtx, delivery, result)
+		d.referElsewhere(refusal)
 	}
 	d.recordResult(router, delivery, result, refusal, d.opts.Clock.Now()-began)
 	if refusal != nil {
@@ -224,16 +230,28 @@
 
 // checkCut refuses a request that may still be in flight when the process ends. The client can send it to another gateway at once.
 func (d *Dispatcher) checkCut(delivery leaf.Delivery) *samphirepass.Refusal {
-	if d.opts.CutIn == nil {
+	if d.opts.Ending == nil {
 		return nil
 	}
-	left, stopping := d.opts.CutIn()
-	if !stopping || delivery.Request.DeadlineMs <= left {
+	left, ending := d.opts.Ending.CutIn()
+	if !ending || delivery.Request.DeadlineMs <= left {
 		return nil
 	}
 	return withRetryAfter(retryAfterStoppingMs, samphirepass.Refuse(samphirepass.CodeStopping, "the gateway stops in %.0f ms, and the request may take %.0f ms", left, delivery.Request.DeadlineMs))
 }
 
+// referElsewhere makes the refusal of a request that has not run name the end of the process, if it has begun: the client can send the
+// request to another gateway at once.
+func (d *Dispatcher) referElsewhere(refusal *samphirepass.Refusal) {
+	if refusal == nil || !refusal.NotRun || d.opts.Ending == nil {
+		return
+	}
+	if left, ending := d.opts.Ending.CutIn(); ending {
+		refusal.Code, refusal.RetryAfterMs = samphirepass.CodeStopping, retryAfterStoppingMs
+		refusal.Message = fmt.Sprintf("the gateway stops in %.0f ms; %s", left, refusal.Message)
+	}
+}
+
 func withRetryAfter(after samphirepass.Millis, r *samphirepass.Refusal) *samphirepass.Refusal {
 	r.RetryAfterMs = after
 	return r
@@ -253,6 +271,8 @@
 	switch {
 	case !result.MaybeRun && result.Answered == 0:
 		return samphirepass.ClientAnswer{}, withRetryAfter(max(result.RetryAfterMs, retryAfterRefusedMs), samphirepass.Refuse(samphirepass.CodeOverloaded, "every leaf that was asked refused the request"))
+	case context.Cause(ctx) == errEnding:
+		return samphirepass.ClientAnswer{}, samphirepass.RefuseUnknown("%d of %d shards answered before the gateway stopped", result.Answered, len(delivery.Shards))
 	case ctx.Err() != nil:
 		refusal := samphirepass.RefuseUnknown("%d of %d shards answered in time", result.Answered, len(delivery.Shards))
 		refusal.Code = samphirepass.CodeDeadline
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -15,7 +15,7 @@
 func (f *fanOut) startAttempt(shard int) bool {
 	s := &f.shards[shard]
 	leaves := f.untriedLeaves(shard)
-	if len(leaves) == 0 || s.countedAttempts >= f.fanOutOptions.maxAttempts || len(s.tried) >= f.fanOutOptions.maxAttempts+maxFreeRetries {
+	if f.sendsEnded || len(leaves) == 0 || s.countedAttempts >= f.fanOutOptions.maxAttempts || len(s.tried) >= f.fanOutOptions.maxAttempts+maxFreeRetries {
 		return false
 	}
 	reg, ok := f.reserveLeaf(leaves)
@@ -208,7 +208,7 @@
 // startExtraAttempt starts another attempt if takeBudget grants one. A nil takeBudget means that the attempt replaces one
 // that caused no load: it needs no budget and does not count as extra.
 func (f *fanOut) startExtraAttempt(shard int, takeBudget func() bool) bool {
-	if leaves := f.untriedLeaves(shard); len(leaves) == 0 || f.pool.minWaitMs(leaves) > 0 || (takeBudget != nil && !takeBudget()) {
+	if leaves := f.untriedLeaves(shard); f.sendsEnded || len(leaves) == 0 || f.pool.minWaitMs(leaves) > 0 || (takeBudget != nil && !takeBudget()) {
 		return false
 	}
 	if !f.startAttempt(shard) {
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -45,6 +45,8 @@
 	Probe bool
 	// OnPartial is called once with the answers so far if they are fewer than DueShards at PartialAfterMs; it may be nil.
 	OnPartial func(DeliveryResult) `codec:"-"`
+	// SendsEnd is closed when attempts that have not been sent are withdrawn and no more are started; nil means never.
+	SendsEnd <-chan struct{} `codec:"-"`
 }
 
 // RequiredShards returns the least number of shards for an answer.
@@ -214,6 +216,7 @@
 		maxAttempts: max(delivery.Route.MaxAttempts, 1), atMostOnce: delivery.Route.Kind == samphirepass.AtMostOnce,
 		partialAfter: delivery.PartialAfterMs, grace: delivery.GraceMs, requiredShards: delivery.RequiredShards(), dueShards: delivery.dueShards(),
 		cancelDelay: cancelDelayMs, endedCancelDelay: endedCancelDelayMs, probe: delivery.Probe,
+		sendsEnd: delivery.SendsEnd,
 	}
 	opts.expected = expectedLatency(opts.hedger, delivery.Route)
 	result := DeliveryResult{RequiredShards: opts.requiredShards}
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -115,6 +115,8 @@
 	congested bool
 	// probe makes the first attempt go out alone, and the others only once a leaf has survived the request.
 	probe bool
+	// sendsEnd is closed when unsent attempts are withdrawn and no more are started; it may be nil.
+	sendsEnd <-chan struct{}
 	// progress is called with the fraction of shards still open; it may be nil.
 	progress func(open float64)
 }
@@ -157,6 +159,8 @@
 	survived bool
 	// alone is set while the only attempt in flight is to show whether the request crashes leaves.
 	alone bool
+	// sendsEnded is set once sendsEnd is closed.
+	sendsEnded bool
 	// condemned is set once a leaf has crashed under an attempt that was alone: there are no further attempts.
 	condemned bool
 	// failure is the last reply of a leaf that ran an attempt and reported a failure.
@@ -209,6 +213,8 @@
 				f.hedgeLateShards()
 			}
 			f.resetTimer()
+		case <-f.sendsEnd:
+			f.endSends()
 		case <-f.ctx.Done():
 			f.shed = f.shed || errors.Is(f.ctx.Err(), context.DeadlineExceeded)
 			f.observeUnfinished()
@@ -260,6 +266,16 @@
 	time.AfterFunc(delay.Duration(), func() { cancel(samphirepass.ErrSuperseded) })
 }
 
+// endSends withdraws the unsent attempts and gives up the shards whose next attempt was held. The shards of withdrawn attempts are closed
+// once these have returned.
+func (f *fanOut) endSends() {
+	f.sendsEnd, f.sendsEnded = nil, true
+	for i := range f.shards {
+		f.shards[i].withdraw()
+	}
+	f.closeHeld()
+}
+
 // withdrawUnsent withdraws the attempts that still wait for a connection, whose answers nobody needs any more.
 func (f *fanOut) withdrawUnsent() {
 	for i := range f.shards {
--- a/leaf/withdraw_test.go
+++ b/leaf/withdraw_test.go
@@ -152,6 +152,26 @@
 	require.False(t, ok, "a request that was reported as not run arrived")
 }
 
+// TestProofUnsentRequestEndsWithSends guards against a request that waits for a connection until the process has ended: once nothing more is
+// sent, it ends at once as not run, and no other leaf is asked.
+func TestProofUnsentRequestEndsWithSends(t *testing.T) {
+	b := startBusyLeaf(t, 400*time.Millisecond)
+	d := newBusyDeliverer(b)
+	occupy(t, d, b)
+	delivery := busyDelivery("second", 1, 2000)
+	sendsEnd := make(chan struct{})
+	delivery.SendsEnd = sendsEnd
+	time.AfterFunc(50*time.Millisecond, func() { close(sendsEnd) })
+	began := time.Now()
+	result, _ := deliver(d, delivery)
+	require.Less(t, time.Since(began), 200*time.Millisecond)
+	require.Zero(t, result.Answered)
+	require.False(t, result.MaybeRun)
+	time.Sleep(500 * time.Millisecond)
+	_, ok := b.deadline("second")
+	require.False(t, ok, "a request that was reported as not run arrived")
+}
+
 // TestProofRefusedThenUnsentHasNotRun has a leaf refuse an at-most-once request, whose second attempt then waits for a connection until
 // the deadline: neither leaf has run it.
 func TestProofRefusedThenUnsentHasNotRun(t *testing.T) {
