logs: Drop lines that are written after Close

Cause: the log's queue was closed while goroutines still ran, and a line written then panicked (send on closed channel). Seen in the log of a gateway at the end of a stop, in the handlers of requests that were cut; a goroutine outside net/http would have ended the process.

Change: Close marks the writer as closed, and later lines are dropped.

--- a/logs/logs.go
+++ b/logs/logs.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"os"
+	"sync"
 	"sync/atomic"
 
 	"github.com/phuslu/log"
@@ -38,18 +39,48 @@
 func NewTo(out io.Writer, vm string) Logger {
 	l := &log.Logger{
 		Level: log.InfoLevel, TimeFormat: log.TimeFormatUnixMs,
-		Writer:  &log.AsyncWriter{ChannelSize: maxQueuedLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: out}},
+		Writer:  &closingWriter{async: &log.AsyncWriter{ChannelSize: maxQueuedLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: out}}},
 		Context: log.NewContext(nil).Str("vm", vm).Value(),
 	}
 	return Logger{logger: l, requestLimit: &requestLimit{limiter: rate.NewLimiter(requestLinesPerSecond, requestLineBurst)}}
 }
 
-// Close writes the queued lines.
+// closingWriter passes entries on until it is closed and drops later ones: a request or a service may still write while the process ends.
+type closingWriter struct {
+	async *log.AsyncWriter
+
+	// mu is held for reading during a write, which does not block.
+	mu     sync.RWMutex
+	closed bool
+}
+
+// WriteEntry implements log.Writer.
+func (w *closingWriter) WriteEntry(e *log.Entry) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		return 0, nil
+	}
+	return w.async.WriteEntry(e)
+}
+
+// Close writes the queued entries.
+func (w *closingWriter) Close() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return nil
+	}
+	w.closed = true
+	return w.async.Close()
+}
+
+// Close writes the queued lines and drops later ones.
 func (l Logger) Close() {
 	if l.logger == nil {
 		return
 	}
-	if w, ok := l.logger.Writer.(*log.AsyncWriter); ok {
+	if w, ok := l.logger.Writer.(*closingWriter); ok {
 		// The process is about to exit, so there is nowhere left to report an error.
 		_ = w.Close()
 	}
