control: Take the vote of a member that stops or is gone, where others can do without it

Cause: a successor votes as soon as it has caught up, and the member that it replaces kept its vote until it had been silent for 4 s, also after a planned stop. Four votes bear one loss, which the stopped machine already was. Evidence: the lines that name the voters (four, the stopped machine and the lost disk among them, the other two pre-candidates to the end). Ruled out: an empty disk that finds no member.

Change: a member that is told to stop asks the leader to remove it, which does so if at least Options.Voters other voters hold all that is committed; otherwise it keeps its vote, so that a turn of restarts does not shrink the log. A voter that is silent for 0.5 s is removed on the same condition, and a learner takes the place of a silent voter by becoming a voter first.

--- a/control/dynamic.go
+++ b/control/dynamic.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// silentMemberTimeoutMs is the time for which a member must be inactive before it may be removed; a member that
-	// returns later is admitted again.
-	silentMemberTimeoutMs samphirepass.Millis = 4000
-	// silentVoterLogMs is the time without an answer after which the leader logs a voter as silent.
-	silentVoterLogMs = quorum.ElectionTicksMin * TickMs
+	// silentLearnerTimeoutMs is the time without an answer after which a learner is removed.
+	silentLearnerTimeoutMs samphirepass.Millis = 4000
+	// silentVoterTimeoutMs is the time without an answer after which a voter is logged as silent, and removed if enough others remain. It is
+	// the shortest time after which a silent leader is replaced. A voter that returns later is admitted again.
+	silentVoterTimeoutMs = quorum.ElectionTicksMin * TickMs
 	// routingTryTimeoutMs bounds one try of PutRouting or Routing, so that a silent member uses up only a part of the
 	// caller's deadline.
 	routingTryTimeoutMs samphirepass.Millis = 400
@@ -50,11 +50,11 @@
 	return samphirepass.Millis(l.core.SilentTicks(m.VM)) * TickMs
 }
 
-// logSilentVoters logs which voters have not answered this leader for silentVoterLogMs, if that has changed.
+// logSilentVoters logs which voters have not answered this leader for silentVoterTimeoutMs, if that has changed.
 func (l *loop) logSilentVoters(members quorum.Members) {
 	var silent []string
 	for _, m := range members {
-		if m.Voter && l.silentMs(m) >= silentVoterLogMs {
+		if m.Voter && l.silentMs(m) >= silentVoterTimeoutMs {
 			silent = append(silent, string(m.VM))
 		}
 	}
@@ -62,28 +62,22 @@
 		return
 	}
 	l.loggedSilent = silent
-	l.node.opts.Log("%d of %d voters answer; silent for %.0f ms or more: %q.", members.VoterCount()-len(silent), members.VoterCount(), silentVoterLogMs, silent)
+	l.node.opts.Log("%d of %d voters answer; silent for %.0f ms or more: %q.", members.VoterCount()-len(silent), members.VoterCount(), silentVoterTimeoutMs, silent)
 }
 
-// removableMember returns a member that has been inactive for silentMemberTimeoutMs. A voter is returned only if at least
-// Options.Voters voters remain without it or a learner is ready to replace it.
+// removableMember returns a member that has been silent for long enough to be removed: a learner, or a voter without which at least
+// Options.Voters voters remain. A voter less is replaced only by a learner that has caught up, which becomes a voter first.
 func (l *loop) removableMember(members quorum.Members) (quorum.Member, bool) {
 	for _, m := range members {
-		if l.silentMs(m) < silentMemberTimeoutMs {
-			continue
-		}
-		if !m.Voter || members.VoterCount() > l.node.opts.Voters || l.learnerReady(members) {
+		silent := l.silentMs(m)
+		spareVoter := m.Voter && members.VoterCount() > l.node.opts.Voters
+		if (spareVoter && silent >= silentVoterTimeoutMs) || (!m.Voter && silent >= silentLearnerTimeoutMs) {
 			return m, true
 		}
 	}
 	return quorum.Member{}, false
 }
 
-// learnerReady reports whether any learner has caught up.
-func (l *loop) learnerReady(members quorum.Members) bool {
-	return slices.ContainsFunc(members, func(m quorum.Member) bool { return !m.Voter && l.caughtUp(m) })
-}
-
 // joiningProcess returns a process that is not a member and has sent a hello within helloExpiryMs.
 func (n *Node) joiningProcess(members quorum.Members) (quorum.Member, bool) {
 	n.mu.Lock()
@@ -164,6 +158,7 @@
 		return helloReply{VM: vm, Diskless: true}, nil
 	})
 	notLeader := samphirepass.Refuse(samphirepass.CodeNotLeader, "process %s has no disk and is no member", vm)
+	peer.HandleCall(h, kindLeave, func(context.Context, leaveRequest) (leaveReply, error) { return leaveReply{}, notLeader })
 	peer.HandleCall(h, kindPutRouting, func(context.Context, putRoutingRequest) (putRoutingReply, error) { return putRoutingReply{}, notLeader })
 	peer.HandleCall(h, kindGetRouting, func(context.Context, getRoutingRequest) (getRoutingReply, error) { return getRoutingReply{}, notLeader })
 }
--- a/control/dynamic_test.go
+++ b/control/dynamic_test.go
@@ -180,3 +180,100 @@
 	defer cancel()
 	require.Error(t, c.PutRouting(ctx, samphirepass.RoutingDocument{Version: 1}))
 }
+
+// leads reports whether a member knows itself as the leader.
+func leads(m *dynamicMember, vm string) bool {
+	leader, _ := m.node.Leader()
+	return string(leader.VM) == vm
+}
+
+// TestProofDiskLostAfterReplacement guards against a log that loses its majority with the next disk, because a replaced member that is gone
+// still has its vote although a caught-up successor has one, too.
+func TestProofDiskLostAfterReplacement(t *testing.T) {
+	tests := map[string]struct {
+		removeLeader bool
+		// leave makes the removed member leave before it stops, restart starts it again afterwards.
+		leave, restart bool
+		// pause is the time from the end of the removed member to the loss of another one's disk.
+		pause time.Duration
+	}{
+		"a follower leaves":   {leave: true},
+		"the leader leaves":   {leave: true, removeLeader: true},
+		"a follower is gone":  {pause: 2 * time.Second},
+		"the leader is gone":  {pause: 2 * time.Second, removeLeader: true},
+		"the leader restarts": {leave: true, restart: true, removeLeader: true, pause: 3 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			ports, addresses := holdPorts(t, 4)
+			seeds := addresses[:3]
+			members := map[string]*dynamicMember{}
+			port := map[string]*heldPort{}
+			for i, p := range ports {
+				vm := fmt.Sprintf("vm-%d", i)
+				members[vm], port[vm] = startDynamicMember(t, vm, p, "", seeds, i < 3), p
+			}
+			require.Eventually(t, func() bool { return voterCount(members["vm-3"]) == 4 }, 20*time.Second, 20*time.Millisecond)
+			putRouting(t, 5, addresses)
+			removed, lost := "", ""
+			require.Eventually(t, func() bool {
+				removed, lost = "", ""
+				for _, vm := range []string{"vm-0", "vm-1", "vm-2"} {
+					if removed == "" && leads(members[vm], vm) == tt.removeLeader {
+						removed = vm
+					} else {
+						lost = vm
+					}
+				}
+				return removed != "" && lost != ""
+			}, 10*time.Second, 20*time.Millisecond)
+			if tt.leave {
+				members[removed].node.TransferLeadership(t.Context())
+				left, err := members[removed].node.Leave(t.Context(), newClient(t, addresses))
+				require.NoError(t, err)
+				require.True(t, left)
+			}
+			members[removed].stop()
+			if tt.restart {
+				members[removed] = startDynamicMember(t, removed, port[removed], members[removed].folder, seeds, false)
+			}
+			time.Sleep(tt.pause)
+			var remaining []string
+			for vm := range members {
+				if vm != removed {
+					remaining = append(remaining, port[vm].address())
+				}
+			}
+			putRouting(t, 6, remaining)
+			members[lost].stop()
+			time.Sleep(time.Second)
+			members[lost] = startDynamicMember(t, lost, port[lost], "", seeds, false)
+			require.Equal(t, samphirepass.RoutingVersion(6), readRouting(t, remaining).Version)
+			require.Eventually(t, func() bool {
+				m, _ := members[lost].node.Members().Find(samphirepass.VM(lost))
+				return m.Voter
+			}, 10*time.Second, 20*time.Millisecond, "the member with the new disk votes again")
+		})
+	}
+}
+
+// TestProofLastVotersDoNotLeave guards against a turn of restarts that shrinks the log: a member keeps its vote where too few others remain.
+func TestProofLastVotersDoNotLeave(t *testing.T) {
+	ports, seeds := holdPorts(t, 3)
+	var members []*dynamicMember
+	for i, p := range ports {
+		members = append(members, startDynamicMember(t, fmt.Sprintf("vm-%d", i), p, "", seeds, true))
+	}
+	require.Eventually(t, func() bool { return voterCount(members[0]) == 3 }, 20*time.Second, 20*time.Millisecond)
+	putRouting(t, 5, seeds)
+	for i, m := range members {
+		m.node.TransferLeadership(t.Context())
+		left, err := m.node.Leave(t.Context(), newClient(t, seeds))
+		require.NoError(t, err)
+		require.False(t, left)
+		m.stop()
+		members[i] = startDynamicMember(t, fmt.Sprintf("vm-%d", i), ports[i], m.folder, seeds, false)
+		putRouting(t, samphirepass.RoutingVersion(6+i), seeds)
+		require.Eventually(t, func() bool { return voterCount(members[i]) == 3 }, 10*time.Second, 20*time.Millisecond)
+	}
+}
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -29,6 +29,7 @@
 	peer.HandleCall(h, kindRead, n.handleRead)
 	peer.HandleCall(h, kindRun, n.handleRun)
 	peer.HandleCall(h, kindMembers, n.handleMembers)
+	peer.HandleCall(h, kindLeave, n.handleLeave)
 	peer.HandleCall(h, kindPutRouting, n.handlePutRouting)
 	peer.HandleCall(h, kindGetRouting, n.handleGetRouting)
 	peer.HandleCall(h, kindStatus, func(ctx context.Context, _ statusRequest) (Status, error) { return n.Status(ctx) })
--- a/control/handshake.go
+++ b/control/handshake.go
@@ -237,12 +237,12 @@
 	return replies
 }
 
-// sendHellos sends hellos at intervals until ctx ends, as long as this disk is not a voter or, with dynamic membership,
+// sendHellos sends hellos at intervals until ctx ends or this member leaves, as long as this disk is not a voter or, with dynamic membership,
 // has lost contact with the leader, so that the leader learns of this disk.
 func (n *Node) sendHellos(ctx context.Context) {
 	for {
 		s, err := n.Status(ctx)
-		if err != nil {
+		if err != nil || n.isLeaving() {
 			return
 		}
 		// A member that was removed while it was unreachable still counts itself as a voter but receives no messages from the leader.
--- /dev/null
+++ b/control/leave.go
@@ -0,0 +1,127 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"samphirepass"
+	"samphirepass/quorum"
+)
+
+const (
+	// leaveRetryMs is the interval at which a leader checks whether the removal of a leaving member is committed.
+	leaveRetryMs = membershipCheckTicks * TickMs
+	// leaveTryTimeoutMs bounds one try of Leave, so that a silent member uses up only a part of the caller's deadline.
+	leaveTryTimeoutMs samphirepass.Millis = 400
+)
+
+// leaveRequest asks the leader to remove a member that is about to stop.
+type leaveRequest struct {
+	VM samphirepass.VM
+}
+
+// leaveReply says whether the member has left. If it has not, too few other voters remain without it.
+type leaveReply struct {
+	Left bool
+}
+
+// Leave removes this member from the log if enough other voters remain, so that its end costs no vote, and reports whether it did. A
+// member that starts again is admitted again. The leader must transfer the leadership first.
+func (n *Node) Leave(ctx context.Context, c *Client) (bool, error) {
+	if !n.dynamicMembership() {
+		return false, nil
+	}
+	if m, ok := n.Members().Find(n.opts.VM); !ok || !m.Voter {
+		return false, nil
+	}
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	var reply leaveReply
+	err := c.callWithTryTimeout(ctx, leaveTryTimeoutMs, kindLeave, leaveRequest{VM: n.opts.VM}, &reply)
+	return reply.Left, err
+}
+
+// isLeaving reports whether Leave was called.
+func (n *Node) isLeaving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving
+}
+
+// handleLeave returns once the member is removed and that is committed, or it cannot be.
+func (n *Node) handleLeave(ctx context.Context, req leaveRequest) (leaveReply, error) {
+	if err := n.awaitStart(ctx); err != nil {
+		return leaveReply{}, err
+	}
+	for {
+		done := make(chan leaveProgress, 1)
+		if err := n.enqueue(ctx, func(l *loop) { done <- l.leave(req.VM) }); err != nil {
+			return leaveReply{}, err
+		}
+		select {
+		case p := <-done:
+			if p.ended {
+				return leaveReply{Left: p.left}, p.err
+			}
+		case <-n.stopped:
+			return leaveReply{}, samphirepass.RefuseUnknown("control member stopped")
+		}
+		select {
+		case <-time.After(leaveRetryMs.Duration()):
+		case <-ctx.Done():
+			return leaveReply{}, samphirepass.RefuseUnknown("the removal of %s was not committed in time", req.VM)
+		}
+	}
+}
+
+// leaveProgress is the state of the removal of a leaving member.
+type leaveProgress struct {
+	ended, left bool
+	err         error
+}
+
+// leave proposes the removal of a leaving member once enough other voters hold all committed entries.
+func (l *loop) leave(vm samphirepass.VM) leaveProgress {
+	if l.core.Role() != quorum.RoleLeader {
+		return leaveProgress{ended: true, err: l.notLeader()}
+	}
+	members := l.core.Members()
+	leaving, ok := members.Find(vm)
+	if !ok {
+		committed := l.core.MembersCommitted()
+		return leaveProgress{ended: committed, left: committed}
+	}
+	voters, candidates := l.countRemaining(members, vm)
+	switch {
+	case vm == l.node.opts.VM, candidates < l.node.opts.Voters:
+		return leaveProgress{ended: true}
+	case voters < l.node.opts.Voters:
+		// Learners that have caught up become voters first.
+		return leaveProgress{}
+	}
+	l.node.forgetHello(vm)
+	l.proposeMembers(members.Without(vm), "remove leaving member", leaving)
+	return leaveProgress{}
+}
+
+// countRemaining counts the members other than vm that hold all committed entries: the voters among them, and all of them.
+func (l *loop) countRemaining(members quorum.Members, vm samphirepass.VM) (voters, all int) {
+	for _, m := range members {
+		if m.VM == vm || (m.VM != l.node.opts.VM && !l.caughtUp(m)) {
+			continue
+		}
+		all++
+		if m.Voter {
+			voters++
+		}
+	}
+	return voters, all
+}
+
+// forgetHello drops the last hello of vm, which would admit it again.
+func (n *Node) forgetHello(vm samphirepass.VM) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.hellos, vm)
+}
--- a/control/messages.go
+++ b/control/messages.go
@@ -16,6 +16,7 @@
 	kindRun     = "run"
 	kindMembers = "members"
 	kindStatus  = "status"
+	kindLeave   = "leave"
 
 	kindPutRouting = "put-routing"
 	kindGetRouting = "get-routing"
--- a/control/node.go
+++ b/control/node.go
@@ -77,6 +77,8 @@
 	mu       sync.Mutex
 	identity disk.Identity
 	started  bool
+	// leaving is set once this member asks to be removed.
+	leaving bool
 	// loadedLog is set if the disk held a log at the start.
 	loadedLog bool
 	// diskStates holds the most advanced state seen of each disk.
--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -225,7 +225,7 @@
 	return r.leafCache.AwaitSaved(ctx, r.registry.Version())
 }
 
-// Run serves until ctx ends. A leader transfers the leadership before it stops.
+// Run serves until ctx ends. Before it stops, a leader transfers the leadership, and a member leaves the log if enough others remain.
 func (r *Registrar) Run(ctx context.Context) error {
 	log := r.log.For("control")
 	serveCtx, cancel := context.WithCancel(context.Background())
@@ -250,6 +250,7 @@
 	<-ctx.Done()
 	log.Event("Stopping.")
 	r.transferLeadership()
+	r.leaveLog()
 	stopCtx, stop := context.WithTimeout(context.Background(), registrarStopStepTimeoutMs.Duration())
 	defer stop()
 	if err := r.api.Shutdown(stopCtx); err != nil {
@@ -323,6 +324,24 @@
 	m.TransferLeadership(ctx)
 }
 
+// leaveLog gives up this member's place in the log if enough other voters remain: a machine that is removed must not count towards the
+// majority until its silence is noticed. After a restart the member is admitted again.
+func (r *Registrar) leaveLog() {
+	m := r.member.Load()
+	if m == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), registrarStopStepTimeoutMs.Duration())
+	defer cancel()
+	r.updateClientMembers()
+	left, err := m.Leave(ctx, r.client)
+	if err != nil {
+		r.log.For("control").Event("The log did not confirm that this member leaves.", "reason", err.Error())
+		return
+	}
+	r.log.For("control").Event("Leaving the log.", "left", left)
+}
+
 // leafExpirer periodically removes expired leaves from the registry.
 type leafExpirer struct{ registry *leaf.Registry }
 
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -135,6 +135,9 @@
 // Members returns the latest membership, committed or not.
 func (c *Core) Members() Members { return c.members }
 
+// MembersCommitted reports whether the latest membership is committed.
+func (c *Core) MembersCommitted() bool { return c.membersIndex <= c.commitIndex }
+
 // CommitIndex returns the highest committed index.
 func (c *Core) CommitIndex() samphirepass.Revision { return c.commitIndex }
 
