gateway, leaf: Tell routes apart by host and prefix, not by name

Cause: balancers were kept by the route's name, which need not be unique. Ruled out: a wrong route is found (Find returns the right one). The same cause elsewhere: the measurements behind hedges and left-out shards were kept by name, also over a change of the latency target; counters of two routes ran together.

Change: Route.Key (host and prefix) identifies a route; a new latency target starts its measurements anew; logs and metrics name host and prefix where a name is used twice.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -331,15 +331,16 @@
 	case result.Answered < len(delivery.Shards):
 		outcome = metrics.QueryPartial
 	}
-	d.opts.Metrics.ObserveRequest(string(delivery.Route.Name), delivery.Route.Rank, outcome, elapsed)
-	d.opts.Metrics.Attempts(samphirepass.Service(delivery.Route.Name), result.Attempts, result.Extra)
+	label := router.Label(delivery.Route)
+	d.opts.Metrics.ObserveRequest(label, delivery.Route.Rank, outcome, elapsed)
+	d.opts.Metrics.Attempts(samphirepass.Service(label), result.Attempts, result.Extra)
 	if refusal != nil {
-		d.opts.Log.RequestEvent("Request not served.", "request", delivery.Request.ID, "route", delivery.Route.Name, "routing", router.routing.Version,
+		d.opts.Log.RequestEvent("Request not served.", "request", delivery.Request.ID, "route", label, "routing", router.routing.Version,
 			"code", refusal.Code, "reason", refusal.Message, "not-run", refusal.NotRun, "shards", len(delivery.Shards), "known", result.KnownShards,
 			"answered", result.Answered, "parts", result.Parts, "failed-parts", result.FailedParts, "attempts", result.Attempts, "allowed", delivery.Route.MaxAttempts, "kind", delivery.Route.Kind, "extra", result.Extra, "deadline-ms", int(delivery.Request.DeadlineMs), "took-ms", int(elapsed),
 			"last-leaf", result.LastLeaf, "last-error", errorText(result.LastErr))
 		return
 	}
-	d.opts.Log.RequestEvent("Request answered.", "request", delivery.Request.ID, "route", delivery.Route.Name, "routing", router.routing.Version, "result", outcome,
+	d.opts.Log.RequestEvent("Request answered.", "request", delivery.Request.ID, "route", label, "routing", router.routing.Version, "result", outcome,
 		"shards", len(delivery.Shards), "answered", result.Answered, "attempts", result.Attempts, "extra", result.Extra, "skipped", result.Skipped, "took-ms", int(elapsed))
 }
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net"
 	"slices"
 	"strings"
@@ -16,7 +17,9 @@
 	// hosts holds the routes of each host, longest prefix first.
 	hosts map[string][]samphirepass.Route
 	// balancers holds the balancer of each route with several services.
-	balancers map[samphirepass.RouteName]*weightedRoundRobin
+	balancers map[samphirepass.RouteKey]*weightedRoundRobin
+	// labels holds the names of routes in logs and metrics: that of the document, with host and prefix if several routes have it.
+	labels map[samphirepass.RouteKey]string
 	// shards is the set of services that are a shard of some route.
 	shards map[samphirepass.Service]bool
 	// maxShards is the largest number of shards of a route.
@@ -25,7 +28,10 @@
 
 // NewRouter returns a router for a valid document.
 func NewRouter(routing samphirepass.Routing) *Router {
-	r := &Router{routing: routing, hosts: map[string][]samphirepass.Route{}, balancers: map[samphirepass.RouteName]*weightedRoundRobin{}, shards: map[samphirepass.Service]bool{}}
+	r := &Router{
+		routing: routing, hosts: map[string][]samphirepass.Route{}, balancers: map[samphirepass.RouteKey]*weightedRoundRobin{},
+		labels: routeLabels(routing.Routes), shards: map[samphirepass.Service]bool{},
+	}
 	for _, route := range routing.Routes {
 		host := strings.ToLower(route.Host)
 		r.hosts[host] = append(r.hosts[host], route)
@@ -34,7 +40,7 @@
 			r.shards[shard] = true
 		}
 		if len(route.Services) > 1 {
-			r.balancers[route.Name] = newWeightedRoundRobin(route.Services)
+			r.balancers[route.Key()] = newWeightedRoundRobin(route.Services)
 		}
 	}
 	for _, routes := range r.hosts {
@@ -43,6 +49,27 @@
 	return r
 }
 
+// routeLabels returns a label for each route that no other one has.
+func routeLabels(routes []samphirepass.Route) map[samphirepass.RouteKey]string {
+	count := make(map[samphirepass.RouteName]int, len(routes))
+	for _, route := range routes {
+		count[route.Name]++
+	}
+	labels := make(map[samphirepass.RouteKey]string, len(routes))
+	for _, route := range routes {
+		label := string(route.Name)
+		if count[route.Name] > 1 {
+			key := route.Key()
+			label = strings.TrimSpace(fmt.Sprintf("%s %s%s", route.Name, key.Host, key.Prefix))
+		}
+		labels[route.Key()] = label
+	}
+	return labels
+}
+
+// Label returns the name of a route in logs and metrics.
+func (r *Router) Label(route samphirepass.Route) string { return r.labels[route.Key()] }
+
 // Routing returns the document of the router.
 func (r *Router) Routing() samphirepass.Routing { return r.routing }
 
@@ -67,7 +94,7 @@
 	if route.IsScatterGather() {
 		return route.ShardServices
 	}
-	if b := r.balancers[route.Name]; b != nil {
+	if b := r.balancers[route.Key()]; b != nil {
 		return []samphirepass.Service{b.next()}
 	}
 	return []samphirepass.Service{route.Services[0].Service}
--- a/gateway/router_test.go
+++ b/gateway/router_test.go
@@ -80,3 +80,44 @@
 		})
 	}
 }
+
+// TestProofRoutesOfOneNameKeepTheirServices guards against a request that runs at the services of another route, which has the same name on
+// another host.
+func TestProofRoutesOfOneNameKeepTheirServices(t *testing.T) {
+	r := gateway.NewRouter(samphirepass.Routing{Version: 1, Routes: []samphirepass.Route{
+		route("report", "a.example", "/x/", weighted("a1", 1), weighted("a2", 1)),
+		route("report", "B.example", "/x/", weighted("b", 1)),
+		route("report", "c.example", "/x/", weighted("c1", 3), weighted("c2", 1)),
+		route("report", "c.example", "/y/", weighted("d1", 1), weighted("d2", 1)),
+		route("", "e.example", "/x/", weighted("e1", 1), weighted("e2", 1)),
+		route("", "f.example", "/x/", weighted("f", 1)),
+		route("other", "g.example", "/x/", weighted("g", 1)),
+	}})
+	tests := map[string]struct {
+		host, path, label string
+		services          []string
+	}{
+		"first split":           {"a.example", "/x/", "report a.example/x/", []string{"a1", "a2"}},
+		"single service":        {"b.example", "/x/", "report b.example/x/", []string{"b"}},
+		"second split":          {"c.example", "/x/", "report c.example/x/", []string{"c1", "c2"}},
+		"same host":             {"c.example", "/y/", "report c.example/y/", []string{"d1", "d2"}},
+		"split without a name":  {"e.example", "/x/", "e.example/x/", []string{"e1", "e2"}},
+		"single without a name": {"f.example", "/x/", "f.example/x/", []string{"f"}},
+		"name of its own":       {"g.example", "/x/", "other", []string{"g"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			found, ok := r.Find(tt.host, tt.path)
+			require.True(t, ok)
+			require.Equal(t, tt.label, r.Label(found))
+			selected := map[string]bool{}
+			for range 8 {
+				selected[string(r.SelectServices(found)[0])] = true
+			}
+			require.Len(t, selected, len(tt.services))
+			for _, s := range tt.services {
+				require.True(t, selected[s], s)
+			}
+		})
+	}
+}
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -112,7 +112,17 @@
 	extraPercent samphirepass.Percent
 
 	mu     sync.Mutex
-	routes map[samphirepass.RouteName]routeState
+	routes map[routeStateKey]routeState
+}
+
+// routeStateKey identifies the measurements of one route. A new latency target starts them anew, since the base hedge delay follows from it.
+type routeStateKey struct {
+	samphirepass.RouteKey
+	latencyTargetMs samphirepass.Millis
+}
+
+func newRouteStateKey(r samphirepass.Route) routeStateKey {
+	return routeStateKey{RouteKey: r.Key(), latencyTargetMs: r.LatencyTargetMs}
 }
 
 // routeState holds the measurements of one route.
@@ -139,20 +149,21 @@
 func NewDeliverer(opts DelivererOptions) *Deliverer {
 	return &Deliverer{
 		fanOutDeps: &fanOutDeps{registry: opts.Registry, pool: opts.Pool, sender: opts.Sender, dataCentre: opts.DataCentre, chooser: opts.Chooser, clock: opts.Clock},
-		budgets:    opts.Budget, extraPercent: opts.ExtraPercent, routes: map[samphirepass.RouteName]routeState{},
+		budgets:    opts.Budget, extraPercent: opts.ExtraPercent, routes: map[routeStateKey]routeState{},
 	}
 }
 
 func (d *Deliverer) routeState(route samphirepass.Route) routeState {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s, ok := d.routes[route.Name]
+	key := newRouteStateKey(route)
+	s, ok := d.routes[key]
 	if !ok {
 		s = routeState{
 			hedger:  policy.NewQuantileHedger(d.extraPercent).WithBaseDelay(route.LatencyTargetMs / hedgeDelayDivisor),
 			skipper: policy.NewShardSkipper(),
 		}
-		d.routes[route.Name] = s
+		d.routes[key] = s
 	}
 	return s
 }
@@ -170,15 +181,15 @@
 
 // Retain drops the measurements of all routes but the given ones.
 func (d *Deliverer) Retain(routes []samphirepass.Route) {
-	present := make(map[samphirepass.RouteName]bool, len(routes))
+	present := make(map[routeStateKey]bool, len(routes))
 	for _, r := range routes {
-		present[r.Name] = true
+		present[newRouteStateKey(r)] = true
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for name := range d.routes {
-		if !present[name] {
-			delete(d.routes, name)
+	for key := range d.routes {
+		if !present[key] {
+			delete(d.routes, key)
 		}
 	}
 }
--- a/leaf/deliver_test.go
+++ b/leaf/deliver_test.go
@@ -129,6 +129,37 @@
 	})
 }
 
+// TestRoutesAreMeasuredApart guards against hedging a request by the latency target of another route: one with the same name on another
+// host, or an earlier version of the route.
+func TestRoutesAreMeasuredApart(t *testing.T) {
+	tests := map[string]func(*samphirepass.Route){
+		"same name on another host": func(r *samphirepass.Route) { r.Host, r.LatencyTargetMs = "b.example", 60 },
+		"another target":            func(r *samphirepass.Route) { r.LatencyTargetMs = 60 },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &scriptedSender{answer: func(ctx context.Context, to samphirepass.Leaf, _ int, _ samphirepass.Attempt) (samphirepass.Reply, error) {
+					if to == "1-0" {
+						return waitForCancel(ctx)
+					}
+					return okReply()
+				}}
+				d, _ := newDelivererAt(bubbleClock{started: time.Now()}, s, &fixedBudget{remaining: 10})
+				slow := testRoute
+				slow.Host, slow.LatencyTargetMs = "a.example", 1200
+				quick := slow
+				change(&quick)
+				_, first := deliver(d, newDelivery(slow))
+				_, second := deliver(d, newDelivery(quick))
+				time.Sleep(time.Second)
+				require.InDelta(t, 400, float64(samphirepass.MillisOf(first)), 1, "a third of 1200 ms")
+				require.InDelta(t, 20, float64(samphirepass.MillisOf(second)), 1, "a third of 60 ms")
+			})
+		})
+	}
+}
+
 // TestLateAnswerWaitsForRemainingShards guards against returning a late answer before all shards have answered within GraceMs:
 // too few shards answer by PartialAfterMs, and the last one a little later.
 func TestLateAnswerWaitsForRemainingShards(t *testing.T) {
--- a/routing.go
+++ b/routing.go
@@ -8,7 +8,7 @@
 // RoutingVersion numbers the operators' routing documents; a higher one replaces a lower one entirely, and 0 means none.
 type RoutingVersion uint64
 
-// RouteName names a route of a routing document.
+// RouteName names a route of a routing document for operators; it need not be unique.
 type RouteName string
 
 // Repeatability determines how often a request of a route may run.
@@ -54,6 +54,15 @@
 	MinShardShare float64
 }
 
+// RouteKey identifies a route. Requests are told apart by host and path, so several routes may have one name.
+type RouteKey struct {
+	// Host is in lower case.
+	Host, Prefix string
+}
+
+// Key returns the key of the route.
+func (r Route) Key() RouteKey { return RouteKey{Host: strings.ToLower(r.Host), Prefix: r.Prefix} }
+
 // IsScatterGather reports whether requests are sent to all of a set of shards.
 func (r Route) IsScatterGather() bool { return len(r.ShardServices) > 0 }
 
@@ -88,16 +97,15 @@
 
 // Validate returns a refusal that names the first invalid route and field, or nil.
 func (r Routing) Validate() error {
-	seen := make(map[string]RouteName, len(r.Routes))
+	seen := make(map[RouteKey]RouteName, len(r.Routes))
 	for i, route := range r.Routes {
 		if problem, field := r.checkRoute(route); problem != "" {
 			return invalidRoute(i, route, field, problem)
 		}
-		hostAndPrefix := strings.ToLower(route.Host) + route.Prefix
-		if other, taken := seen[hostAndPrefix]; taken {
+		if other, taken := seen[route.Key()]; taken {
 			return invalidRoute(i, route, "prefix", fmt.Sprintf("route %q has the same host and prefix", other))
 		}
-		seen[hostAndPrefix] = route.Name
+		seen[route.Key()] = route.Name
 	}
 	return nil
 }
