leaf: Let long and stalled answers give way to others where memory is short

Reported by operators of similar systems: bytes without end from a faulty leaf end the machine that called it. Here the process is safe, but one leaf that announced 8 MB, sent 4 MB and then nothing made every other answer above 4 kB fail, after its request had run.

Cause: the memory for bodies was first come, first served, and a growing body reserved the sum of its buffers.

Change: a body holds only its current buffer; where memory is short, the longest read gives way to a shorter one, or else one that has had no byte for a second.

--- a/leaf/answer.go
+++ b/leaf/answer.go
@@ -6,7 +6,6 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -24,15 +23,19 @@
 	framingDivisor  = 8
 )
 
-// errTooLong means that an answer was longer than its limits.
-var errTooLong = eris.New("answer exceeds its limits")
+var (
+	// errTooLong means that an answer was longer than its limits.
+	errTooLong = eris.New("answer exceeds its limits")
+	// errGaveWay means that the memory of an answer was needed for shorter ones.
+	errGaveWay = eris.New("answer gave way to shorter ones")
+)
 
 // answerLimits bound what is read of one answer.
 type answerLimits struct {
 	// body is the greatest length of the body.
 	body int64
 	// memory is shared by all answers that are being read; nil means that only body counts.
-	memory *semaphore.Weighted
+	memory *readMemory
 }
 
 // boundedReader reads at most a number of bytes, which its user sets anew for each part of an answer.
@@ -67,7 +70,7 @@
 		}
 		pc.bounded.remaining = limits.body + limits.body/framingDivisor + maxFramingBytes
 		pc.bounded.read = 0
-		body, err := readBody(resp, limits, &pc.bounded)
+		body, err := pc.readBody(resp, limits)
 		if err != nil {
 			return nil, nil, fmt.Errorf("read answer's body: %w", err)
 		}
@@ -75,12 +78,11 @@
 	}
 }
 
-// readBody returns the whole body, which comes through wire. The memory for it is taken as its bytes arrive, whatever length the leaf
-// announced.
-func readBody(resp *http.Response, limits answerLimits, wire *boundedReader) ([]byte, error) {
+// readBody returns the whole body. The memory for it is taken as its bytes arrive, whatever length the leaf announced.
+func (pc *pooledConn) readBody(resp *http.Response, limits answerLimits) ([]byte, error) {
 	defer func() {
 		// Close reads the body to its end, which is of no use after an error and may never come.
-		wire.remaining = 0
+		pc.bounded.remaining = 0
 		_ = resp.Body.Close()
 	}()
 	if resp.ContentLength > limits.body {
@@ -89,36 +91,49 @@
 	if resp.ContentLength == 0 || resp.Body == http.NoBody {
 		return []byte{}, nil
 	}
+	if limits.memory == nil {
+		return readWhole(resp, limits.body, &pc.bounded, nil)
+	}
+	conn := pc.conn
+	reservation := limits.memory.reserve(func() {
+		// It only fails on a connection that is closed already.
+		_ = conn.SetDeadline(pastDeadline)
+	})
+	body, err := readWhole(resp, limits.body, &pc.bounded, reservation)
+	if !reservation.release() {
+		return nil, errGaveWay
+	}
+	return body, err
+}
+
+// readWhole reads a body of at most limit bytes, which comes through wire, and grows the reservation, if there is one, with it.
+func readWhole(resp *http.Response, limit int64, wire *boundedReader, reservation *readReservation) ([]byte, error) {
 	size := int64(firstBodyBytes)
 	if resp.ContentLength > 0 {
 		size = min(size, resp.ContentLength)
 	}
 	body := make([]byte, 0, size)
-	reserved := int64(0)
-	defer func() {
-		if reserved > 0 {
-			limits.memory.Release(reserved)
-		}
-	}()
 	for {
 		if len(body) == cap(body) {
-			size = min(2*int64(cap(body)), limits.body+1)
+			if int64(len(body)) > limit {
+				return nil, errTooLong
+			}
+			size = min(2*int64(cap(body)), limit+1)
 			if resp.ContentLength > 0 {
 				size = min(size, resp.ContentLength)
 			}
-			if int64(len(body)) > limits.body {
-				return nil, errTooLong
-			}
-			if limits.memory != nil {
-				if !limits.memory.TryAcquire(size) {
-					return nil, fmt.Errorf("%w: too many long answers at once", errTooLong)
+			if reservation != nil {
+				if err := reservation.resize(size); err != nil {
+					return nil, err
 				}
-				reserved += size
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := resp.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
+		if reservation != nil && n > 0 {
+			reservation.recordBytes()
+		}
 		if length := int64(len(body)); wire.read-length > maxFramingBytes+length/framingDivisor {
 			return nil, fmt.Errorf("%w: more framing than body", errTooLong)
 		}
--- a/leaf/endless_test.go
+++ b/leaf/endless_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync"
@@ -14,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"samphirepass"
+	"samphirepass/leaf"
 )
 
 // endlessLeaf answers each connection with prefix and then repeats a text until the other end closes.
@@ -93,6 +97,87 @@
 	}
 }
 
+// stalledLeaf announces a body, sends part of it on each connection and then nothing more.
+func stalledLeaf(t *testing.T, announced, sent int) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", announced)
+				_, _ = c.Write(make([]byte, sent))
+				// The other end closes the connection.
+				_, _ = io.Copy(io.Discard, c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// healthyLeaf answers each request with a body of the given length.
+func healthyLeaf(t *testing.T, bytes int) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h := w.Header()
+		h.Set(leaf.HeaderRequest, r.Header.Get(leaf.HeaderRequest))
+		h.Set(leaf.HeaderSnapshot, "1")
+		h.Set(leaf.HeaderShard, "0")
+		h.Set(leaf.HeaderPartial, "false")
+		body := make([]byte, bytes)
+		h.Set(leaf.HeaderDigest, leaf.Digest(body))
+		_, _ = w.Write(body)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// TestProofStalledAnswersLeaveRoomForOthers guards against faulty leaves whose long answers never end and take all memory for answers: those
+// of every healthy leaf failed after their requests had run.
+func TestProofStalledAnswersLeaveRoomForOthers(t *testing.T) {
+	tests := map[string]struct {
+		connections, announced, sent int
+		// pause is the time from the last byte of the stalled answers to the healthy one, of healthy bytes.
+		pause   time.Duration
+		healthy int
+	}{
+		"one long answer":                   {connections: 1, announced: 8 << 20, sent: 4<<20 + 1000, healthy: 100 << 10},
+		"several long answers":              {connections: 4, announced: 8 << 20, sent: 4<<20 + 1000, healthy: 100 << 10},
+		"many answers":                      {connections: 40, announced: 8 << 20, sent: 1 << 20, healthy: 100 << 10},
+		"a healthy answer of the same size": {connections: 4, announced: 8 << 20, sent: 8<<20 - 1, healthy: 8 << 20, pause: 1200 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			sender, _ := newSender(tt.connections)
+			faulty := samphirepass.Announcement{Leaf: "a", Service: "desk", Address: stalledLeaf(t, tt.announced, tt.sent), Incarnation: 1, Sequence: 1, State: samphirepass.LeafServing, Slots: 1}
+			healthy := faulty
+			healthy.Leaf, healthy.Address = "b", healthyLeaf(t, tt.healthy)
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			for i := range tt.connections {
+				wg.Go(func() {
+					_, err := sender.Send(ctx, faulty, newAttempt(fmt.Sprint(i), ""))
+					require.Error(t, err)
+				})
+			}
+			time.Sleep(300*time.Millisecond + tt.pause)
+			for i := range 20 {
+				reply, err := sender.Send(t.Context(), healthy, newAttempt(fmt.Sprint("healthy-", i), ""))
+				require.NoError(t, err)
+				require.Len(t, reply.Body, tt.healthy)
+			}
+			cancel()
+			wg.Wait()
+		})
+	}
+}
+
 // trackHeap measures the memory in use until the returned function is called, which returns the largest increase.
 func trackHeap(t *testing.T) func() uint64 {
 	t.Helper()
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -11,7 +11,6 @@
 	"syscall"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sync/semaphore"
 
 	"samphirepass"
 )
@@ -49,7 +48,7 @@
 	probe, err := protocol.Probe(context.Background(), placeholderAddress)
 	return &Sender{
 		pool: pool, protocol: protocol, clock: clock, canProbe: err == nil && probe != nil,
-		limits: answerLimits{body: maxReplyBytes, memory: semaphore.NewWeighted(maxReadingBytes)},
+		limits: answerLimits{body: maxReplyBytes, memory: newReadMemory(maxReadingBytes, clock)},
 	}
 }
 
