--- a/control/leave.go
+++ b/control/leave.go
@@ -25,8 +25,9 @@
 	Left bool
 }
 
-// Leave removes this member from the log if enough other voters remain, so that its end costs no vote, and reports whether it did. A
-// member that starts again is admitted again. The leader must transfer the leadership first.
+// Leave removes this member from the log if enough other voters remain, so that its end costs no vote, and reports whether it did. The
+// process must stop afterwards: the member says no more hellos, and is admitted again once it starts again. A leader must transfer the
+// leadership first.
 func (n *Node) Leave(ctx context.Context, c *Client) (bool, error) {
 	if !n.dynamicMembership() {
 		return false, nil
--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -334,12 +334,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), registrarStopStepTimeoutMs.Duration())
 	defer cancel()
 	r.updateClientMembers()
-	left, err := m.Leave(ctx, r.client)
-	if err != nil {
-		r.log.For("control").Event("The log did not confirm that this member leaves.", "reason", err.Error())
-		return
+	log := r.log.For("control")
+	switch left, err := m.Leave(ctx, r.client); {
+	case err != nil:
+		log.Event("Departure from the log not confirmed.", "reason", err.Error())
+	case left:
+		log.Event("Left the log.")
+	default:
+		log.Event("Stays a member of the log: it is not one of more voters than the log needs.")
 	}
-	r.log.For("control").Event("Leaving the log.", "left", left)
 }
 
 // leafExpirer periodically removes expired leaves from the registry.
