--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -341,7 +341,7 @@
 	case left:
 		log.Event("Left the log.")
 	default:
-		log.Event("Stays a member of the log: it is not one of more voters than the log needs.")
+		log.Event("Keeps its place in the log: too few other voters remain.")
 	}
 }
 
