control: Judge by the last answer whether a member has caught up

Cause: whether a member answers was taken from a mark that the leader clears twice a second. Right after that every member seemed silent, so that a leaving member could be told that too few others remain, and kept its vote until its silence was noticed. Found by reading.

--- a/control/members.go
+++ b/control/members.go
@@ -56,10 +56,11 @@
 	return m, true
 }
 
-// caughtUp reports whether a member is active and holds all committed entries and all but maxLearnerLagEntries of the log.
+// caughtUp reports whether a member answers and holds all committed entries and all but maxLearnerLagEntries of the log.
 func (l *loop) caughtUp(m quorum.Member) bool {
 	match := l.core.MatchIndex(m.VM)
-	return m.Disk != "" && match+maxLearnerLagEntries >= l.core.LastIndex() && match >= l.core.CommitIndex() && l.core.Active(m.VM)
+	answers := l.silentMs(m) < silentVoterTimeoutMs
+	return m.Disk != "" && match+maxLearnerLagEntries >= l.core.LastIndex() && match >= l.core.CommitIndex() && answers
 }
 
 // lastHelloOf returns the last hello of vm and whether it came within helloExpiryMs.
