gateway, leaf: Keep a leaf's own pause in the refusals of a stopping gateway

Cause: every refusal of a stopping gateway named 1 ms as the time to return, also where all leaves had asked for a pause. Found by reading.

Change: only a request that was not sent because the process ends is sent elsewhere at once (DeliveryResult.SendsEnded). TestEndingAnswersRequests.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -171,7 +171,9 @@
 		result = d.opts.Deliverer.Deliver(deliverCtx, delivery)
 		d.recordCrashes(delivery, result)
 		answer, refusal = buildAnswer(deliverCtx, delivery, result)
-		d.referElsewhere(refusal)
+		if result.SendsEnded {
+			d.referElsewhere(refusal)
+		}
 	}
 	d.recordResult(router, delivery, result, refusal, d.opts.Clock.Now()-began)
 	if refusal != nil {
@@ -240,16 +242,15 @@
 	return withRetryAfter(retryAfterStoppingMs, samphirepass.Refuse(samphirepass.CodeStopping, "the gateway stops in %.0f ms, and the request may take %.0f ms", left, delivery.Request.DeadlineMs))
 }
 
-// referElsewhere makes the refusal of a request that has not run name the end of the process, if it has begun: the client can send the
-// request to another gateway at once.
+// referElsewhere makes the refusal of a request that was not sent because the process ends say so: the client can send the request to
+// another gateway at once.
 func (d *Dispatcher) referElsewhere(refusal *samphirepass.Refusal) {
-	if refusal == nil || !refusal.NotRun || d.opts.Ending == nil {
+	if refusal == nil || !refusal.NotRun {
 		return
 	}
-	if left, ending := d.opts.Ending.CutIn(); ending {
-		refusal.Code, refusal.RetryAfterMs = samphirepass.CodeStopping, retryAfterStoppingMs
-		refusal.Message = fmt.Sprintf("the gateway stops in %.0f ms; %s", left, refusal.Message)
-	}
+	left, _ := d.opts.Ending.CutIn()
+	refusal.Code, refusal.RetryAfterMs = samphirepass.CodeStopping, retryAfterStoppingMs
+	refusal.Message = fmt.Sprintf("the gateway stops in %.0f ms, and the request still waited for a leaf", left)
 }
 
 func withRetryAfter(after samphirepass.Millis, r *samphirepass.Refusal) *samphirepass.Refusal {
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -98,6 +98,8 @@
 	Shed bool
 	// RetryAfterMs is the time until a leaf takes a request, if the request was not sent because too few leaves do now.
 	RetryAfterMs samphirepass.Millis
+	// SendsEnded is set if Delivery.SendsEnd was closed meanwhile.
+	SendsEnded bool
 	// Crashes are the leaves that ended while they ran the request, Survived is set if another one ran it and did not.
 	Crashes  []samphirepass.LeafCrash
 	Survived bool
@@ -276,7 +278,7 @@
 	result.Answered, result.Failure, result.MaybeRun = f.answeredShards, f.failure, f.maybeRun || f.mayStillRun
 	result.Timing = f.times.result()
 	result.Crashes, result.Survived = f.crashes, f.survived
-	result.RetryAfterMs = f.retryAfter
+	result.RetryAfterMs, result.SendsEnded = f.retryAfter, f.sendsEnded
 	result.CrossCentreAttempts = f.crossCentreAttempts
 	if delivery.Route.IsScatterGather() {
 		result.DegradedShards = f.degradedShards()
--- a/leaf/withdraw_test.go
+++ b/leaf/withdraw_test.go
@@ -167,6 +167,7 @@
 	require.Less(t, time.Since(began), 200*time.Millisecond)
 	require.Zero(t, result.Answered)
 	require.False(t, result.MaybeRun)
+	require.True(t, result.SendsEnded)
 	time.Sleep(500 * time.Millisecond)
 	_, ok := b.deadline("second")
 	require.False(t, ok, "a request that was reported as not run arrived")
