directory, daemon: Acknowledge a departure once other registrars know of it

Cause: the acknowledgement waited for the own disk, or for nothing without one, and changes are told to others up to 100 ms later. Ruled out: an older announcement that wins when the registrar is back (with it gone for good the requests still come).

Change: it waits until two other registrars have the change, as their polls say, or as many as poll this one if they are fewer.

--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -31,8 +31,8 @@
 	registrarStopStepTimeoutMs samphirepass.Millis = 1500
 	// expiryIntervalMs is the interval between checks for expired leaves.
 	expiryIntervalMs samphirepass.Millis = 5000
-	// departureSaveTimeoutMs bounds the wait for the disk; a leaf calls another process after a second.
-	departureSaveTimeoutMs samphirepass.Millis = 700
+	// departureTimeoutMs bounds the wait for the disk and for other registrars; a leaf calls another process after a second.
+	departureTimeoutMs samphirepass.Millis = 700
 	// noLeaderAgeMs is reported as the time since the last contact with a leader while this process is not a member.
 	noLeaderAgeMs samphirepass.Millis = 1e9
 )
@@ -194,7 +194,8 @@
 	return r.client.Routing(ctx)
 }
 
-// HandleAnnouncement adds the announcement of a leaf to the registry. If the leaf drains, it returns once that would survive a restart.
+// HandleAnnouncement adds the announcement of a leaf to the registry. If the leaf drains, it returns once that would survive the end of this
+// process.
 func (r *Registrar) HandleAnnouncement(ctx context.Context, a samphirepass.Announcement) error {
 	if newer, changed := r.registry.Apply(a, 0, true); newer && changed {
 		r.log.For("registry").Event("Leaf announced.", "leaf", a.Leaf, "service", a.Service, "address", a.Address,
@@ -203,26 +204,30 @@
 	if !a.State.Leaving() {
 		return nil
 	}
-	return r.awaitDepartureSaved(ctx)
+	return r.awaitDepartureKept(ctx)
 }
 
-// HandleLeave records that the current incarnation of a leaf takes no more work, and returns once that would survive a restart.
+// HandleLeave records that the current incarnation of a leaf takes no more work, and returns once that would survive the
+// end of this process.
 func (r *Registrar) HandleLeave(ctx context.Context, name samphirepass.Leaf) error {
 	if r.registry.MarkGone(name) {
 		r.log.For("registry").Event("Leaf left.", "leaf", name)
 	}
-	return r.awaitDepartureSaved(ctx)
+	return r.awaitDepartureKept(ctx)
 }
 
-// awaitDepartureSaved returns once the current state of the leaves is on the disk. Otherwise a leaf whose departure was acknowledged
-// just before a restart would be loaded as serving.
-func (r *Registrar) awaitDepartureSaved(ctx context.Context) error {
-	if r.leafCache == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, departureSaveTimeoutMs.Duration())
+// awaitDepartureKept returns once the current state of the leaves is on the disk, if there is one, and known to other registrars. Otherwise a
+// leaf whose departure was acknowledged just before this process ends would be taken for serving again.
+func (r *Registrar) awaitDepartureKept(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, departureTimeoutMs.Duration())
 	defer cancel()
-	return r.leafCache.AwaitSaved(ctx, r.registry.Version())
+	version := r.registry.Version()
+	if r.leafCache != nil {
+		if err := r.leafCache.AwaitSaved(ctx, version); err != nil {
+			return err
+		}
+	}
+	return r.source.AwaitKnown(ctx, version)
 }
 
 // Run serves until ctx ends. Before it stops, a leader transfers the leadership, and a member leaves the log if enough others remain.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -266,3 +266,48 @@
 	require.Equal(t, 2, a.EntryCount())
 	eventually(t, 5*time.Second, func() bool { return !a.UpToDate() }, "the entry notices that it is not up to date")
 }
+
+// TestProofDepartureIsKnownElsewhere guards against a departure that is acknowledged while one control process alone knows of it.
+func TestProofDepartureIsKnownElsewhere(t *testing.T) {
+	await := func(s *testSource) error {
+		ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+		defer cancel()
+		return s.source.AwaitKnown(ctx, s.registry.Version())
+	}
+	sources := startSources(t, 4)
+	taker := sources[1]
+	a := samphirepass.Announcement{Leaf: "a", Service: "desk", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1, State: samphirepass.LeafServing, Slots: 1}
+	taker.registry.Apply(a, 0, true)
+	isGone := func(s *testSource) bool {
+		all := s.registry.All()
+		return len(all) == 1 && all[0].State == samphirepass.LeafGone
+	}
+	eventually(t, 10*time.Second, func() bool {
+		for _, s := range sources {
+			if len(s.registry.All()) != 1 || len(s.follower.ControlAddresses()) != 3 {
+				return false
+			}
+		}
+		return true
+	}, "all sources know each other and the leaf")
+	time.Sleep(1500 * time.Millisecond)
+	taker.registry.MarkGone("a")
+	require.NoError(t, await(taker))
+	others := 0
+	for _, s := range sources {
+		if s != taker && isGone(s) {
+			others++
+		}
+	}
+	require.GreaterOrEqual(t, others, 2)
+
+	// Behind a cut, nobody else hears of it.
+	taker.relay.SetDefault(standin.LinkCut)
+	b := a
+	b.Leaf, b.Address = "b", "127.0.0.1:2"
+	taker.registry.Apply(b, 0, true)
+	require.ErrorIs(t, await(taker), context.DeadlineExceeded)
+
+	// Once the others have not polled for long, there is nobody to tell.
+	eventually(t, 5*time.Second, func() bool { return await(taker) == nil }, "a process on its own")
+}
--- a/directory/source.go
+++ b/directory/source.go
@@ -56,6 +56,8 @@
 	// collectAddress is the peer address at which an entry collects for smaller ones, empty if it does not.
 	collectAddress string
 	capacity       samphirepass.Capacity
+	// leavesVersion is the version of the leaves that the follower has, 0 if it has none of this process.
+	leavesVersion uint64
 }
 
 // reportedOffer is an offer that another source reported.
@@ -84,6 +86,8 @@
 
 	mu        sync.Mutex
 	followers map[followerKey]followerState
+	// controlPolled is closed and replaced at each poll of a control process.
+	controlPolled chan struct{}
 	// reportedEntries are the entries that other sources reported, with the time of the last report.
 	reportedEntries map[samphirepass.VM]samphirepass.Millis
 	// dataCentres holds the data centres of control processes by their peer addresses.
@@ -99,7 +103,7 @@
 // NewSource returns a source without followers.
 func NewSource(opts SourceOptions) *Source {
 	return &Source{
-		opts: opts, epoch: uuid.NewString(), startedAt: opts.Clock.Now(), followers: map[followerKey]followerState{},
+		opts: opts, epoch: uuid.NewString(), startedAt: opts.Clock.Now(), followers: map[followerKey]followerState{}, controlPolled: make(chan struct{}),
 		reportedEntries: map[samphirepass.VM]samphirepass.Millis{}, dataCentres: map[string]samphirepass.DataCentre{}, reportedOffers: map[string]reportedOffer{},
 	}
 }
@@ -164,6 +168,7 @@
 	f.endpoint = Endpoint{Address: req.ControlAddress, DataCentre: req.DataCentre}
 	f.lastSeen = s.opts.Clock.Now()
 	f.collectAddress, f.capacity = req.CollectAddress, req.Capacity
+	s.recordAcknowledgedLocked(&f, req)
 	s.followers[key] = f
 	if req.ControlAddress != "" {
 		s.dataCentres[req.ControlAddress] = req.DataCentre
