control: Let a member leave though another lacks an entry committed a moment ago

Cause: a leaving member was told that too few others remain if one of them had not yet confirmed the newest committed entry, and kept its vote.

Change: members count that answer and lack no more than maxLearnerLagEntries.

--- a/control/leave.go
+++ b/control/leave.go
@@ -82,7 +82,7 @@
 	err         error
 }
 
-// leave proposes the removal of a leaving member once enough other voters hold all committed entries.
+// leave proposes the removal of a leaving member once enough other voters keep up.
 func (l *loop) leave(vm samphirepass.VM) leaveProgress {
 	if l.core.Role() != quorum.RoleLeader {
 		return leaveProgress{ended: true, err: l.notLeader()}
@@ -98,7 +98,7 @@
 	case vm == l.node.opts.VM, candidates < l.node.opts.Voters:
 		return leaveProgress{ended: true}
 	case voters < l.node.opts.Voters:
-		// Learners that have caught up become voters first.
+		// Learners that keep up become voters first.
 		return leaveProgress{}
 	}
 	l.node.forgetHello(vm)
@@ -106,10 +106,11 @@
 	return leaveProgress{}
 }
 
-// countRemaining counts the members other than vm that hold all committed entries: the voters among them, and all of them.
+// countRemaining counts the members other than vm that keep up: the voters among them, and all of them. A member may lack an entry that
+// was committed a moment ago.
 func (l *loop) countRemaining(members quorum.Members, vm samphirepass.VM) (voters, all int) {
 	for _, m := range members {
-		if m.VM == vm || (m.VM != l.node.opts.VM && !l.caughtUp(m)) {
+		if m.VM == vm || (m.VM != l.node.opts.VM && !l.keepsUp(m)) {
 			continue
 		}
 		all++
--- a/control/members.go
+++ b/control/members.go
@@ -56,11 +56,15 @@
 	return m, true
 }
 
-// caughtUp reports whether a member answers and holds all committed entries and all but maxLearnerLagEntries of the log.
-func (l *loop) caughtUp(m quorum.Member) bool {
-	match := l.core.MatchIndex(m.VM)
+// keepsUp reports whether a member answers and holds all but maxLearnerLagEntries of the log.
+func (l *loop) keepsUp(m quorum.Member) bool {
 	answers := l.silentMs(m) < silentVoterTimeoutMs
-	return m.Disk != "" && match+maxLearnerLagEntries >= l.core.LastIndex() && match >= l.core.CommitIndex() && answers
+	return m.Disk != "" && l.core.MatchIndex(m.VM)+maxLearnerLagEntries >= l.core.LastIndex() && answers
+}
+
+// caughtUp reports whether a member keeps up and holds all committed entries.
+func (l *loop) caughtUp(m quorum.Member) bool {
+	return l.keepsUp(m) && l.core.MatchIndex(m.VM) >= l.core.CommitIndex()
 }
 
 // lastHelloOf returns the last hello of vm and whether it came within helloExpiryMs.
