leaf: Count both buffers of an answer while it is copied

Change: both buffers count during a copy, 12 MB for all, and a body of the greatest length needs no larger buffer to find its end.

--- a/leaf/answer.go
+++ b/leaf/answer.go
@@ -13,8 +13,9 @@
 	maxHeadBytes = 64 << 10
 	// maxReplyBytes bounds the body of a leaf's reply.
 	maxReplyBytes = 8 << 20
-	// maxReadingBytes bounds the memory of all bodies that are being read at a time, as any leaf may send bytes without end.
-	maxReadingBytes = 16 << 20
+	// maxReadingBytes bounds the memory of all bodies that are being read at a time, as any leaf may send bytes without end. A body of the
+	// greatest length fits while it is copied to its last buffer.
+	maxReadingBytes = maxReplyBytes + maxReplyBytes/2
 	// firstBodyBytes is the size of the buffer for a body of unknown length, which most bodies fit into.
 	firstBodyBytes = 4 << 10
 	// A body may come with maxFramingBytes and 1/framingDivisor of its length as chunk sizes and trailers, so that no time goes into
@@ -114,20 +115,22 @@
 	}
 	body := make([]byte, 0, size)
 	for {
+		switch length := int64(len(body)); {
+		case length > limit:
+			return nil, errTooLong
+		case length == limit:
+			return body, expectEnd(resp.Body)
+		}
 		if len(body) == cap(body) {
-			if int64(len(body)) > limit {
-				return nil, errTooLong
-			}
-			size = min(2*int64(cap(body)), limit+1)
+			size = min(2*int64(cap(body)), limit)
 			if resp.ContentLength > 0 {
 				size = min(size, resp.ContentLength)
 			}
-			if reservation != nil {
-				if err := reservation.resize(size); err != nil {
-					return nil, err
-				}
+			grown, err := grow(body, size, reservation)
+			if err != nil {
+				return nil, err
 			}
-			body = append(make([]byte, 0, size), body...)
+			body = grown
 		}
 		n, err := resp.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -149,3 +152,26 @@
 		}
 	}
 }
+
+// expectEnd returns nil if a body has no more bytes.
+func expectEnd(body io.Reader) error {
+	switch _, err := io.ReadFull(body, make([]byte, 1)); {
+	case err == io.EOF:
+		return nil
+	case err != nil:
+		return err
+	}
+	return errTooLong
+}
+
+// grow copies a body to a larger buffer; the reservation, if there is one, covers both meanwhile.
+func grow(body []byte, size int64, reservation *readReservation) ([]byte, error) {
+	if reservation == nil {
+		return append(make([]byte, 0, size), body...), nil
+	}
+	if err := reservation.resize(int64(len(body)) + size); err != nil {
+		return nil, err
+	}
+	grown := append(make([]byte, 0, size), body...)
+	return grown, reservation.resize(size)
+}
--- a/leaf/endless_test.go
+++ b/leaf/endless_test.go
@@ -169,7 +169,7 @@
 			time.Sleep(300*time.Millisecond + tt.pause)
 			for i := range 20 {
 				reply, err := sender.Send(t.Context(), healthy, newAttempt(fmt.Sprint("healthy-", i), ""))
-				require.NoError(t, err)
+				require.NoError(t, err, "healthy answer %d", i)
 				require.Len(t, reply.Body, tt.healthy)
 			}
 			cancel()
