control: Let a member leave right after an election

Cause: a leader that has just been elected does not know yet what the others hold, and told a leaving member that too few others remain.

Change: the request is refused only where too few others answer, and waits while they may still confirm what they hold.

--- a/control/leave.go
+++ b/control/leave.go
@@ -93,12 +93,12 @@
 		committed := l.core.MembersCommitted()
 		return leaveProgress{ended: committed, left: committed}
 	}
-	voters, candidates := l.countRemaining(members, vm)
+	voters, answering := l.countRemaining(members, vm)
 	switch {
-	case vm == l.node.opts.VM, candidates < l.node.opts.Voters:
+	case vm == l.node.opts.VM, answering < l.node.opts.Voters:
 		return leaveProgress{ended: true}
 	case voters < l.node.opts.Voters:
-		// Learners that keep up become voters first.
+		// The others may still catch up, and learners become voters.
 		return leaveProgress{}
 	}
 	l.node.forgetHello(vm)
@@ -106,19 +106,19 @@
 	return leaveProgress{}
 }
 
-// countRemaining counts the members other than vm that keep up: the voters among them, and all of them. A member may lack an entry that
-// was committed a moment ago.
-func (l *loop) countRemaining(members quorum.Members, vm samphirepass.VM) (voters, all int) {
+// countRemaining counts the members other than vm: the voters that keep up, and all members that answer. A new leader does not know yet
+// what the others hold, and a member may lack an entry that was committed a moment ago.
+func (l *loop) countRemaining(members quorum.Members, vm samphirepass.VM) (voters, answering int) {
 	for _, m := range members {
-		if m.VM == vm || (m.VM != l.node.opts.VM && !l.keepsUp(m)) {
+		if m.VM == vm || l.silentMs(m) >= silentVoterTimeoutMs {
 			continue
 		}
-		all++
-		if m.Voter {
+		answering++
+		if m.Voter && (m.VM == l.node.opts.VM || l.keepsUp(m)) {
 			voters++
 		}
 	}
-	return voters, all
+	return voters, answering
 }
 
 // forgetHello drops the last hello of vm, which would admit it again.
