--- a/control/dynamic.go
+++ b/control/dynamic.go
@@ -66,7 +66,7 @@
 }
 
 // removableMember returns a member that has been silent for long enough to be removed: a learner, or a voter without which at least
-// Options.Voters voters remain. A voter less is replaced only by a learner that has caught up, which becomes a voter first.
+// Options.Voters voters remain. In place of a voter that is needed for that number, a learner has to become a voter first.
 func (l *loop) removableMember(members quorum.Members) (quorum.Member, bool) {
 	for _, m := range members {
 		silent := l.silentMs(m)
--- a/control/leave.go
+++ b/control/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"samphirepass"
@@ -39,8 +40,10 @@
 	n.leaving = true
 	n.mu.Unlock()
 	var reply leaveReply
-	err := c.callWithTryTimeout(ctx, leaveTryTimeoutMs, kindLeave, leaveRequest{VM: n.opts.VM}, &reply)
-	return reply.Left, err
+	if err := c.callWithTryTimeout(ctx, leaveTryTimeoutMs, kindLeave, leaveRequest{VM: n.opts.VM}, &reply); err != nil {
+		return false, fmt.Errorf("leave the log: %w", err)
+	}
+	return reply.Left, nil
 }
 
 // isLeaving reports whether Leave was called.
--- a/control/node.go
+++ b/control/node.go
@@ -50,8 +50,8 @@
 	KnownProcesses func() []string
 	// AllowBootstrap lets the seeds bootstrap a new log; otherwise an empty disk waits for members that hold one.
 	AllowBootstrap bool
-	// Voters is the number of voters that a new log waits for. With dynamic membership, a silent voter is removed only
-	// if this number remains without it or a learner is ready to replace it.
+	// Voters is the number of voters that a new log waits for. With dynamic membership, a silent or
+	// leaving voter is removed only if this number of voters remains without it.
 	Voters int
 	// Seats is the number of seats for entry VMs in a new log.
 	Seats int
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -272,7 +273,7 @@
 	switch {
 	case !result.MaybeRun && result.Answered == 0:
 		return samphirepass.ClientAnswer{}, withRetryAfter(max(result.RetryAfterMs, retryAfterRefusedMs), samphirepass.Refuse(samphirepass.CodeOverloaded, "every leaf that was asked refused the request"))
-	case context.Cause(ctx) == errEnding:
+	case errors.Is(context.Cause(ctx), errEnding):
 		return samphirepass.ClientAnswer{}, samphirepass.RefuseUnknown("%d of %d shards answered before the gateway stopped", result.Answered, len(delivery.Shards))
 	case ctx.Err() != nil:
 		refusal := samphirepass.RefuseUnknown("%d of %d shards answered in time", result.Answered, len(delivery.Shards))
--- a/leaf/answer.go
+++ b/leaf/answer.go
@@ -159,7 +159,7 @@
 	case err == io.EOF:
 		return nil
 	case err != nil:
-		return err
+		return fmt.Errorf("read end of body: %w", err)
 	}
 	return errTooLong
 }
