--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -204,7 +204,7 @@
 	if !a.State.Leaving() {
 		return nil
 	}
-	return r.awaitDepartureKept(ctx)
+	return r.awaitDepartureKept(ctx, a.Leaf)
 }
 
 // HandleLeave records that the current incarnation of a leaf takes no more work, and returns once that would survive the
@@ -213,12 +213,12 @@
 	if r.registry.MarkGone(name) {
 		r.log.For("registry").Event("Leaf left.", "leaf", name)
 	}
-	return r.awaitDepartureKept(ctx)
+	return r.awaitDepartureKept(ctx, name)
 }
 
 // awaitDepartureKept returns once the current state of the leaves is on the disk, if there is one, and known to other registrars. Otherwise a
 // leaf whose departure was acknowledged just before this process ends would be taken for serving again.
-func (r *Registrar) awaitDepartureKept(ctx context.Context) error {
+func (r *Registrar) awaitDepartureKept(ctx context.Context, name samphirepass.Leaf) error {
 	ctx, cancel := context.WithTimeout(ctx, departureTimeoutMs.Duration())
 	defer cancel()
 	version := r.registry.Version()
@@ -227,7 +227,14 @@
 			return err
 		}
 	}
-	return r.source.AwaitKnown(ctx, version)
+	having, polling, err := r.source.AwaitKnown(ctx, version)
+	if err != nil {
+		return err
+	}
+	known, _ := r.registry.Newest(name)
+	r.log.For("registry").Event("Departure acknowledged.", "leaf", name, "state", known.Announcement.State, "incarnation", known.Announcement.Incarnation,
+		"polled-by", polling, "known-by", having)
+	return nil
 }
 
 // Run serves until ctx ends. Before it stops, a leader transfers the leadership, and a member leaves the log if enough others remain.
--- a/directory/acknowledged.go
+++ b/directory/acknowledged.go
@@ -13,28 +13,27 @@
 )
 
 // AwaitKnown returns once knownByOthers other control processes have all changes of leaves up to a version of the registry, or as many as
-// poll this source if they are fewer.
-func (s *Source) AwaitKnown(ctx context.Context, version uint64) error {
+// poll this source if they are fewer. It returns how many have them and how many poll.
+func (s *Source) AwaitKnown(ctx context.Context, version uint64) (having, polling int, err error) {
 	for {
-		known, polled := s.knownElsewhere(version)
-		if known {
-			return nil
+		having, polling, polled := s.knownElsewhere(version)
+		if having >= min(knownByOthers, polling) {
+			return having, polling, nil
 		}
 		select {
 		case <-polled:
 		case <-ctx.Done():
-			return fmt.Errorf("wait until other control processes know of a change: %w", ctx.Err())
+			return having, polling, fmt.Errorf("wait until other control processes know of a change: %w", ctx.Err())
 		}
 	}
 }
 
-// knownElsewhere reports whether enough other control processes have a version, and returns a channel that is closed at the next poll of
+// knownElsewhere returns how many other control processes have a version, how many poll, and a channel that is closed at the next poll of
 // one of them.
-func (s *Source) knownElsewhere(version uint64) (known bool, polled <-chan struct{}) {
+func (s *Source) knownElsewhere(version uint64) (having, polling int, polled <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.opts.Clock.Now()
-	polling, having := 0, 0
 	for key, f := range s.followers {
 		if key.controlAddress == "" || now-f.lastSeen > pollingTTLMs {
 			continue
@@ -44,7 +43,7 @@
 			having++
 		}
 	}
-	return having >= min(knownByOthers, polling), s.controlPolled
+	return having, polling, s.controlPolled
 }
 
 // recordAcknowledgedLocked records the version of the leaves that a follower has, as its poll says.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -272,7 +272,8 @@
 	await := func(s *testSource) error {
 		ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
 		defer cancel()
-		return s.source.AwaitKnown(ctx, s.registry.Version())
+		_, _, err := s.source.AwaitKnown(ctx, s.registry.Version())
+		return err
 	}
 	sources := startSources(t, 4)
 	taker := sources[1]
--- a/leaf/registry.go
+++ b/leaf/registry.go
@@ -273,6 +273,17 @@
 	return heartbeats
 }
 
+// Newest returns the newest announcement of a leaf, if one is known.
+func (r *Registry) Newest(name samphirepass.Leaf) (AgedAnnouncement, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	reg, ok := r.leaves[name]
+	if !ok {
+		return AgedAnnouncement{}, false
+	}
+	return reg.aged(r.clock.Now()), true
+}
+
 // All returns all registrations in the order of leaf names.
 func (r *Registry) All() []Registration {
 	r.mu.RLock()
