directory, daemon: Store a departure on enough disks before it is acknowledged

Cause: nothing said what an acknowledgement promises. A registrar counted the others that polled it at that moment: one that had just started needed nobody, acknowledged leaves that it did not know, and copies in memory counted like copies on a disk.

Change: a departure is acknowledged once one registrar more than disks may be lost has it on its disk, as for a routing document. It is passed on at once, names the incarnation, and counts at a registrar only once that one has heard from others since its start. This replaces AwaitKnown, which counted polls.

--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -48,14 +48,13 @@
 	handlers      *peer.Handlers
 	follower      *directory.Follower
 	source        *directory.Source
+	departures    *directory.Departures
 	client        *control.Client
 	metrics       *metrics.Metrics
 	peerWS        *peer.Server
 	peerHTTP      *web.Server
 	api           *web.Server
 	metricsServer *web.Server
-	// leafCache is nil without a data folder.
-	leafCache *directory.DiskCache
 	// member is nil without a data folder, and until that folder has been opened.
 	member atomic.Pointer[control.Node]
 	// relay passes on the routing document of other registrars; it is nil with a data folder.
@@ -71,11 +70,11 @@
 	}
 	quarantine := policy.NewQuarantine(clock)
 	r.source = directory.NewSource(directory.SourceOptions{
-		Self: directory.Endpoint{Address: cfg.PeerAddress(), DataCentre: cfg.DataCentre}, Registry: r.registry, State: r, Quarantine: quarantine, Clock: clock,
+		Self: directory.Endpoint{Address: cfg.PeerAddress(), DataCentre: cfg.DataCentre, HasDisk: cfg.DataFolder != ""}, Registry: r.registry, State: r, Quarantine: quarantine, Clock: clock,
 		OnEndpoint: func(e directory.Endpoint) { r.follower.AddEndpoint(e) },
 	})
 	followerOpts := directory.FollowerOptions{
-		VM: cfg.VM, DataCentre: cfg.DataCentre, ControlAddress: cfg.PeerAddress(), Seeds: cfg.SeedPeers(), Registry: r.registry, Peers: r.peers,
+		VM: cfg.VM, DataCentre: cfg.DataCentre, ControlAddress: cfg.PeerAddress(), HasDisk: cfg.DataFolder != "", Seeds: cfg.SeedPeers(), Registry: r.registry, Peers: r.peers,
 		Quarantine: quarantine, Clock: clock, OnEntries: r.source.AddReportedEntries, OnOffers: r.source.AddReportedOffers, Logf: log.For("directory").Infof,
 	}
 	if cfg.DataFolder == "" {
@@ -85,6 +84,10 @@
 	r.follower = directory.NewFollower(followerOpts)
 	r.client = control.NewClient(membersAt(cfg.SeedPeers()), r.peers)
 	r.source.Register(r.handlers)
+	r.departures = directory.NewDepartures(directory.DepartureOptions{
+		Address: cfg.PeerAddress(), Copies: cfg.LostDisks + 1, Registry: r.registry, Follower: r.follower, Peers: r.peers, Clock: clock,
+	})
+	r.departures.Register(r.handlers)
 	if cfg.DataFolder == "" {
 		control.RegisterDiskless(r.handlers, cfg.VM)
 	}
@@ -194,8 +197,7 @@
 	return r.client.Routing(ctx)
 }
 
-// HandleAnnouncement adds the announcement of a leaf to the registry. If the leaf drains, it returns once that would survive the end of this
-// process.
+// HandleAnnouncement adds the announcement of a leaf to the registry. If the leaf drains, it returns once that is stored by enough registrars.
 func (r *Registrar) HandleAnnouncement(ctx context.Context, a samphirepass.Announcement) error {
 	if newer, changed := r.registry.Apply(a, 0, true); newer && changed {
 		r.log.For("registry").Event("Leaf announced.", "leaf", a.Leaf, "service", a.Service, "address", a.Address,
@@ -204,36 +206,27 @@
 	if !a.State.Leaving() {
 		return nil
 	}
-	return r.awaitDepartureKept(ctx, a.Leaf)
+	return r.keepDeparture(ctx, a.Leaf, r.departures.Keep)
 }
 
-// HandleLeave records that the current incarnation of a leaf takes no more work, and returns once that would survive the
-// end of this process.
+// HandleLeave records that the current incarnation of a leaf takes no more work, and returns once that is stored by enough registrars.
 func (r *Registrar) HandleLeave(ctx context.Context, name samphirepass.Leaf) error {
-	if r.registry.MarkGone(name) {
-		r.log.For("registry").Event("Leaf left.", "leaf", name)
-	}
-	return r.awaitDepartureKept(ctx, name)
+	r.log.For("registry").Event("Leaf left.", "leaf", name)
+	return r.keepDeparture(ctx, name, r.departures.KeepGone)
 }
 
-// awaitDepartureKept returns once the current state of the leaves is on the disk, if there is one, and known to other registrars. Otherwise a
-// leaf whose departure was acknowledged just before this process ends would be taken for serving again.
-func (r *Registrar) awaitDepartureKept(ctx context.Context, name samphirepass.Leaf) error {
+// keepDeparture calls keep with the time that a leaf waits for an acknowledgement, and logs which registrars have stored the departure.
+func (r *Registrar) keepDeparture(ctx context.Context, name samphirepass.Leaf, keep func(context.Context, samphirepass.Leaf) ([]string, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, departureTimeoutMs.Duration())
 	defer cancel()
-	version := r.registry.Version()
-	if r.leafCache != nil {
-		if err := r.leafCache.AwaitSaved(ctx, version); err != nil {
-			return err
-		}
-	}
-	having, polling, err := r.source.AwaitKnown(ctx, version)
+	began := r.clock.Now()
+	holders, err := keep(ctx, name)
 	if err != nil {
 		return err
 	}
 	known, _ := r.registry.Newest(name)
 	r.log.For("registry").Event("Departure acknowledged.", "leaf", name, "state", known.Announcement.State, "incarnation", known.Announcement.Incarnation,
-		"polled-by", polling, "known-by", having)
+		"stored-by", holders, "took-ms", int(r.clock.Now()-began))
 	return nil
 }
 
@@ -286,9 +279,10 @@
 		log.Errorf("Known leaves are not saved to disk: %v.", err)
 		return
 	}
-	r.leafCache = directory.NewDiskCache(folder, r.registry, r.source, log.Infof)
-	r.leafCache.Load()
-	supervisor.Add(namedService{r.leafCache, "leaf cache"})
+	cache := directory.NewDiskCache(folder, r.registry, r.source, log.Infof)
+	cache.Load()
+	r.departures.UseCache(cache)
+	supervisor.Add(namedService{cache, "leaf cache"})
 }
 
 // superviseMember runs the member of the replicated log, if there is a data folder, and reopens it after a disk failure.
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -60,6 +60,8 @@
 	// ControlAddress is the peer address of this process if it is a control process; it is empty otherwise. Control processes follow
 	// all other sources and detect silent leaves themselves.
 	ControlAddress string
+	// HasDisk is set if this process is a control process that keeps the known leaves on a disk.
+	HasDisk bool
 	// Seeds are the peer addresses of the initial sources, which are never forgotten.
 	Seeds    []string
 	Registry *leaf.Registry
@@ -85,6 +87,7 @@
 // sourceState is what a follower knows of one source.
 type sourceState struct {
 	dataCentre samphirepass.DataCentre
+	hasDisk    bool
 	// listedAt is when it last replied or was listed by another source.
 	listedAt samphirepass.Millis
 	// failedAt is when it last failed or was left for another source.
@@ -313,7 +316,7 @@
 		VM: f.opts.VM, ControlAddress: f.opts.ControlAddress, DataCentre: f.opts.DataCentre,
 		Epoch: s.epoch, LeavesVersion: s.leavesVersion, RoutingVersion: f.routingVersion, WaitMs: pollWaitMs,
 		Capacity: f.opts.Capacity, CollectAddress: f.opts.CollectAddress, OffersVersion: s.offersVersion, EndpointsVersion: s.endpointsVersion,
-		SuspicionsVersion: s.suspicionsVersion,
+		SuspicionsVersion: s.suspicionsVersion, HasDisk: f.opts.HasDisk,
 	}
 	if f.opts.OnRouting == nil {
 		// A control process gets the documents from the replicated log, so the source must not send any.
@@ -357,6 +360,7 @@
 	now := f.opts.Clock.Now()
 	s := f.sources[address]
 	s.epoch, s.leavesVersion, s.dataCentre, s.listedAt, s.suspicionsVersion = reply.Epoch, reply.LeavesVersion, reply.DataCentre, now, reply.SuspicionsVersion
+	s.hasDisk = reply.HasDisk
 	if reply.OffersVersion != s.offersVersion {
 		s.offers, s.offersVersion = reply.Offers, reply.OffersVersion
 	}
@@ -401,6 +405,7 @@
 	if e.DataCentre != "" {
 		s.dataCentre = e.DataCentre
 	}
+	s.hasDisk = s.hasDisk || e.HasDisk
 }
 
 // hasAlternativeLocked reports whether there is a source that is not followed, is not stale and has not failed within
@@ -430,6 +435,32 @@
 	}
 }
 
+// DiskAddresses returns the peer addresses of the other control processes that are known to have a disk.
+func (f *Follower) DiskAddresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var addresses []string
+	for address, s := range f.sources {
+		if s.hasDisk && address != f.opts.ControlAddress {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// HeardFromDisks returns the number of other control processes with disks that have replied since the start of this process.
+func (f *Follower) HeardFromDisks() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, s := range f.sources {
+		if s.hasDisk && s.epoch != "" {
+			n++
+		}
+	}
+	return n
+}
+
 // ControlAddresses returns the known peer addresses of control processes, sorted.
 func (f *Follower) ControlAddresses() []string {
 	f.mu.Lock()
--- a/directory/messages.go
+++ b/directory/messages.go
@@ -5,12 +5,17 @@
 	"samphirepass/leaf"
 )
 
-const kindFollow = "follow"
+const (
+	kindFollow    = "follow"
+	kindDeparture = "departure"
+)
 
 // Endpoint is the peer address and the data centre of a control process.
 type Endpoint struct {
 	Address    string
 	DataCentre samphirepass.DataCentre
+	// HasDisk is set if the process keeps the known leaves on a disk.
+	HasDisk bool
 }
 
 // CollectorOffer is the offer of an entry to collect for smaller entries, that is, to take scatter-gather requests from them.
@@ -42,6 +47,13 @@
 	EndpointsVersion uint64
 	// SuspicionsVersion is the version of the suspicions that the follower last received from this source.
 	SuspicionsVersion uint64
+	// HasDisk is set if the follower is a control process that keeps the known leaves on a disk.
+	HasDisk bool
+}
+
+// endpoint returns the follower's endpoint, without an address if it is not a control process.
+func (r followRequest) endpoint() Endpoint {
+	return Endpoint{Address: r.ControlAddress, DataCentre: r.DataCentre, HasDisk: r.HasDisk}
 }
 
 // followReply is the reply of a source to a followRequest.
@@ -78,4 +90,26 @@
 	// Suspicions are the requests that crash leaves, as far as they have changed since the request's SuspicionsVersion.
 	Suspicions        []samphirepass.Suspicion
 	SuspicionsVersion uint64
+	// HasDisk is set if the source keeps the known leaves on a disk.
+	HasDisk bool
+}
+
+// departure is a leaf that leaves.
+type departure struct {
+	Leaf samphirepass.Leaf
+	// Announcement is the newest one that the sender knows, nil if it knows none.
+	Announcement *leaf.AgedAnnouncement
+}
+
+// departureRequest asks a control process to store departures on its disk.
+type departureRequest struct {
+	Departures []departure
+}
+
+// departureReply is the reply to a departureRequest.
+type departureReply struct {
+	// NotStored is why the departures are not on the disk of the receiver, empty if they are.
+	NotStored string
+	// Newer holds the announcements of those leaves of which the receiver knows a later incarnation than the request names.
+	Newer []leaf.AgedAnnouncement
 }
--- a/directory/source.go
+++ b/directory/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -56,8 +57,6 @@
 	// collectAddress is the peer address at which an entry collects for smaller ones, empty if it does not.
 	collectAddress string
 	capacity       samphirepass.Capacity
-	// leavesVersion is the version of the leaves that the follower has, 0 if it has none of this process.
-	leavesVersion uint64
 }
 
 // reportedOffer is an offer that another source reported.
@@ -86,8 +85,6 @@
 
 	mu        sync.Mutex
 	followers map[followerKey]followerState
-	// controlPolled is closed and replaced at each poll of a control process.
-	controlPolled chan struct{}
 	// reportedEntries are the entries that other sources reported, with the time of the last report.
 	reportedEntries map[samphirepass.VM]samphirepass.Millis
 	// dataCentres holds the data centres of control processes by their peer addresses.
@@ -103,7 +100,7 @@
 // NewSource returns a source without followers.
 func NewSource(opts SourceOptions) *Source {
 	return &Source{
-		opts: opts, epoch: uuid.NewString(), startedAt: opts.Clock.Now(), followers: map[followerKey]followerState{}, controlPolled: make(chan struct{}),
+		opts: opts, epoch: uuid.NewString(), startedAt: opts.Clock.Now(), followers: map[followerKey]followerState{},
 		reportedEntries: map[samphirepass.VM]samphirepass.Millis{}, dataCentres: map[string]samphirepass.DataCentre{}, reportedOffers: map[string]reportedOffer{},
 	}
 }
@@ -159,16 +156,15 @@
 // recordFollower updates the state of the follower that sent req.
 func (s *Source) recordFollower(req followRequest) {
 	if req.ControlAddress != "" && s.opts.OnEndpoint != nil {
-		s.opts.OnEndpoint(Endpoint{Address: req.ControlAddress, DataCentre: req.DataCentre})
+		s.opts.OnEndpoint(req.endpoint())
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := followerKey{vm: req.VM, controlAddress: req.ControlAddress}
 	f := s.followers[key]
-	f.endpoint = Endpoint{Address: req.ControlAddress, DataCentre: req.DataCentre}
+	f.endpoint = req.endpoint()
 	f.lastSeen = s.opts.Clock.Now()
 	f.collectAddress, f.capacity = req.CollectAddress, req.Capacity
-	s.recordAcknowledgedLocked(&f, req)
 	s.followers[key] = f
 	if req.ControlAddress != "" {
 		s.dataCentres[req.ControlAddress] = req.DataCentre
@@ -179,7 +175,7 @@
 // the poll returns at once.
 func (s *Source) buildReply(req followRequest, knownVersion uint64) (followReply, bool) {
 	reply := followReply{
-		Epoch: s.epoch, DataCentre: s.opts.Self.DataCentre, SilentLeaves: s.opts.Registry.SilentLeaves(),
+		Epoch: s.epoch, DataCentre: s.opts.Self.DataCentre, HasDisk: s.opts.Self.HasDisk, SilentLeaves: s.opts.Registry.SilentLeaves(),
 		SinceLeaderContactMs: s.opts.State.SinceLeaderContact(),
 	}
 	endpoints := s.endpoints()
@@ -250,7 +246,7 @@
 		}
 	}
 	for _, address := range s.opts.State.MemberAddresses() {
-		add(Endpoint{Address: address, DataCentre: s.dataCentres[address]})
+		add(Endpoint{Address: address, DataCentre: s.dataCentres[address], HasDisk: true})
 	}
 	return known
 }
@@ -259,7 +255,7 @@
 func endpointsVersion(endpoints []Endpoint) uint64 {
 	sum := uint64(0)
 	for _, e := range endpoints {
-		sum += xxhash.Sum64String(e.Address + "/" + string(e.DataCentre))
+		sum += xxhash.Sum64String(e.Address + "/" + string(e.DataCentre) + "/" + strconv.FormatBool(e.HasDisk))
 	}
 	return sum
 }
