leaf, entry: Acknowledge a drain once a majority of the entries have it

Callers saw: nothing yet.

Cause: the answer did not depend on how many entries hold the drain, and an entry without a configuration took itself for the only one.

Change: 503 (unavailable) where no majority holds the drain, or the other entries are not yet known; the entry itself heeds it in any case.

TestProofDrainHeldByFewIsNotAcknowledged: 3 of 8 variants failed before (200 for 1 of 3, 2 of 4 and 1 of an unknown number); now all pass. TestProofDrain of scenario and the tests of entry and contract pass.

--- a/entry/peersyncer.go
+++ b/entry/peersyncer.go
@@ -179,7 +179,7 @@
 }
 
 // Broadcast sends an announcement to all other entries concurrently and returns how many entries hold it
-// and how many there are, this one included.
+// and how many there are, this one included; the latter is 0 before this entry has a configuration.
 func (p *PeerSyncer) Broadcast(ctx context.Context, a samphirepass.Announcement) (holders, entries int) {
 	ctx, cancel := context.WithTimeout(ctx, broadcastTimeoutMs.Duration())
 	defer cancel()
@@ -197,5 +197,8 @@
 		}()
 	}
 	wg.Wait()
+	if p.opts.Board.Config.Value().Revision == 0 {
+		return 1, 0
+	}
 	return 1 + int(acknowledged.Load()), 1 + len(others)
 }
--- a/leaf/announce.go
+++ b/leaf/announce.go
@@ -17,11 +17,11 @@
 }
 
 // BroadcastFunc sends an announcement to the other entries. It returns the number of entries that hold it and the number of
-// all entries, both including this one.
+// all entries, both including this one. The latter is 0 while the other entries are not yet known.
 type BroadcastFunc func(ctx context.Context, a samphirepass.Announcement) (holders, entries int)
 
 // AnnouncementHandler returns the handler for announcements from leaves. It broadcasts those that drain the leaf
-// or change more than Sequence and ColdMs.
+// or change more than Sequence and ColdMs. A drain is acknowledged once a majority of the entries have it, so that it outlives this one.
 func AnnouncementHandler(registry *Registry, broadcast BroadcastFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a, err := readAnnouncement(w, r)
@@ -38,6 +38,10 @@
 		if changed || a.State == samphirepass.LeafDraining {
 			receipt.HeldBy, receipt.Entries = broadcast(r.Context(), a)
 		}
+		if a.State == samphirepass.LeafDraining && (receipt.Entries == 0 || receipt.HeldBy <= receipt.Entries/2) {
+			web.WriteError(w, drainNotHeldRefusal(receipt))
+			return
+		}
 		web.WriteJSON(w, http.StatusOK, receipt)
 	})
 }
@@ -61,6 +65,16 @@
 	return a, nil
 }
 
+func drainNotHeldRefusal(receipt Receipt) error {
+	refusal := samphirepass.Refuse(samphirepass.CodeUnavailable, "the drain is held by %d of %d entries, which is no majority", receipt.HeldBy, receipt.Entries)
+	if receipt.Entries == 0 {
+		refusal = samphirepass.Refuse(samphirepass.CodeUnavailable, "the other entries are not yet known")
+	}
+	// This entry heeds the drain.
+	refusal.NotRun = false
+	return refusal
+}
+
 func outdatedRefusal() error {
 	refusal := samphirepass.Refuse(samphirepass.CodeConflict, "a newer announcement of this leaf is known")
 	refusal.Field, refusal.Allowed = "sequence", "above the last one of this incarnation; a leaf that drains needs a new incarnation to serve again"
