leaf: Keep a departure for its time, whatever the leaf's last heartbeat was

Callers saw: nothing yet. The departure of a leaf that had been silent for over ten minutes was acknowledged and then forgotten.

Cause: a departure is kept for ten minutes, counted from the leaf's last heartbeat: here it was removed within 5 s, and other processes refused it as outdated.

Change: marking a leaf as leaving counts as having seen it. TestProofDepartureOfSilentLeafIsKept failed before in 3 of 3 variants; it passes.

--- a/leaf/registry.go
+++ b/leaf/registry.go
@@ -199,9 +199,9 @@
 	return true
 }
 
-// setStateLocked changes the state of a leaf.
+// setStateLocked changes the state of a leaf, which is kept from now on for as long as an announcement.
 func (r *Registry) setStateLocked(reg Registration, state samphirepass.LeafState) {
-	reg.State = state
+	reg.State, reg.LastSeenMs = state, r.clock.Now()
 	before := reg.contentHash
 	reg.contentHash = hashContent(reg.Announcement)
 	r.digest ^= before ^ reg.contentHash
--- a/leaf/registry_test.go
+++ b/leaf/registry_test.go
@@ -58,6 +58,46 @@
 	require.True(t, newer)
 }
 
+// TestProofDepartureOfSilentLeafIsKept guards against a departure that is forgotten at once, or refused by other processes as outdated,
+// because the leaf had been silent for longer than a departure is kept.
+func TestProofDepartureOfSilentLeafIsKept(t *testing.T) {
+	const (
+		silence samphirepass.Millis = 11 * 60 * 1000
+		later   samphirepass.Millis = 9 * 60 * 1000
+	)
+	tests := map[string]func(r *leaf.Registry){
+		"it leaves":               func(r *leaf.Registry) { r.MarkGone("a") },
+		"it says so in an answer": func(r *leaf.Registry) { r.SetLeaving("a", 5) },
+		"another leaf has its address": func(r *leaf.Registry) {
+			other := newAnnouncement("b", 6, 1, samphirepass.LeafServing)
+			other.StartedMs = 6
+			r.Apply(other, 0, true)
+		},
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := &manualClock{now: 1}
+			serving := newAnnouncement("a", 5, 1, samphirepass.LeafServing)
+			serving.StartedMs = 5
+			here, elsewhere := leaf.NewRegistry(clock), leaf.NewRegistry(clock)
+			here.Apply(serving, 0, true)
+			elsewhere.Apply(serving, 0, true)
+			clock.now += silence
+			leave(here)
+			for range 2 {
+				here.RemoveExpired()
+				known, ok := here.Newest("a")
+				require.True(t, ok)
+				require.True(t, known.Announcement.State.Leaving())
+				elsewhere.ApplyAged(known)
+				known, _ = elsewhere.Newest("a")
+				require.True(t, known.Announcement.State.Leaving())
+				clock.now += later
+			}
+		})
+	}
+}
+
 // TestProofSilence checks which leaves are usable when some or all of them have sent no heartbeat for long.
 func TestProofSilence(t *testing.T) {
 	tests := map[string]struct {
