directory: Refuse the departure of a leaf that no asked registrar knows

Cause: a registrar that could not be reached by the others took the leaf's first heartbeat, the gateway followed that registrar, and the leaf left at another one, which found two disks whose holders did not know the leaf and took that for nothing to keep. Evidence: Departure acknowledged. with state empty, incarnation 0.

--- a/directory/departures.go
+++ b/directory/departures.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -10,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"samphirepass"
 	"samphirepass/leaf"
@@ -23,10 +23,13 @@
 	// that could not store it.
 	askIntervalMs samphirepass.Millis = 100
 	// unknownLeafDelayMs is how long a process waits for the announcement of a departing leaf that none of those that it asked knows. It is
-	// longer than a new announcement takes to reach all processes.
+	// longer than a new announcement takes to reach all processes that are not cut off.
 	unknownLeafDelayMs = 3 * coalesceMs
 )
 
+// ErrLeafUnknown means that no process that was asked knows a leaf that leaves.
+var ErrLeafUnknown = eris.New("no process that was asked knows the leaf")
+
 // DepartureOptions set up Departures.
 type DepartureOptions struct {
 	// Address is the peer address of this process.
@@ -97,7 +100,8 @@
 }
 
 // KeepGone marks the newest incarnation of a leaf as gone, as far as this process and those that it asks know it, and returns the addresses
-// of the processes that have stored that once they are enough, or an error if ctx ends first. A leaf that none of them knows needs no record.
+// of the processes that have stored that once they are enough. It returns an error if ctx ends first, and ErrLeafUnknown if none of them
+// knows the leaf: one that is cut off may, and so may those that follow it.
 func (d *Departures) KeepGone(ctx context.Context, name samphirepass.Leaf) ([]string, error) {
 	return d.keep(ctx, name, true)
 }
@@ -126,11 +130,13 @@
 			return nil, fmt.Errorf("store the departure of leaf %s on %d disks: %w%s", name, d.opts.Copies, ctx.Err(), p.failureText())
 		}
 		status := statusOf(d.newest(p))
-		if status == (leafStatus{}) && d.opts.Clock.Now()-began < unknownLeafDelayMs {
-			continue
-		}
-		if holders := p.holders(status); len(holders) >= d.opts.Copies {
+		holders := p.holders(status)
+		switch known := status != (leafStatus{}); {
+		case len(holders) < d.opts.Copies:
+		case known:
 			return holders, nil
+		case d.opts.Clock.Now()-began >= unknownLeafDelayMs:
+			return nil, fmt.Errorf("store the departure of leaf %s: %w", name, ErrLeafUnknown)
 		}
 	}
 }
@@ -213,7 +219,7 @@
 	var reply departureReply
 	err := d.opts.Peers.Get(address).Call(ctx, kindDeparture, req, &reply)
 	if err == nil && reply.NotStored != "" {
-		err = errors.New(reply.NotStored)
+		err = eris.New(reply.NotStored)
 	}
 	for _, a := range reply.Newer {
 		d.opts.Registry.ApplyAged(a)
@@ -245,7 +251,7 @@
 // since its start: it may not know the newest incarnation of a leaf.
 func (d *Departures) store(ctx context.Context) error {
 	if d.cache == nil {
-		return errors.New("no disk")
+		return eris.New("no disk")
 	}
 	if heard := d.opts.Follower.HeardFromDisks(); heard+1 < d.opts.Copies {
 		return fmt.Errorf("has heard from %d processes with disks since its start, needs %d", heard, d.opts.Copies-1)
--- a/directory/departures_test.go
+++ b/directory/departures_test.go
@@ -157,6 +157,21 @@
 	require.ErrorIs(t, keep(t, alone.departures.KeepGone), context.DeadlineExceeded)
 }
 
+// TestProofDepartureOfUnknownLeafIsRefused guards against a departure that is acknowledged without a record, as no process that can be
+// reached knows the leaf: one that is cut off does, and so do those that follow it.
+func TestProofDepartureOfUnknownLeafIsRefused(t *testing.T) {
+	sources := startSourcesWithDisks(t, 4)
+	aside := sources[0]
+	aside.relay.SetDefault(standin.LinkSilent)
+	announceTo(aside.registry, "a", 1, samphirepass.LeafServing)
+	for _, s := range sources[1:] {
+		require.ErrorIs(t, keep(t, s.departures.KeepGone), directory.ErrLeafUnknown)
+	}
+	require.NoError(t, keep(t, aside.departures.KeepGone), "it can reach the others and knows the leaf")
+	require.Empty(t, aside.registry.Serving("desk"))
+	require.NoError(t, keep(t, sources[1].departures.KeepGone))
+}
+
 // TestProofLateDepartureSparesNextStart guards against a departure of an earlier start that takes the requests from the next one.
 func TestProofLateDepartureSparesNextStart(t *testing.T) {
 	sources := startSourcesWithDisks(t, 3)
