samphirepass, gateway, platform: Client accounts with keys, and the interfaces of this release

Requests of deployments with client accounts went to leaves with the client's key and without the account's name, and ran with keys that no document held: the product knew no accounts. A request to a route that is not public needs the key of an account (401, not run), leaves see the account's name and never the key, and the account's rank goes before the route's. Two accounts with one key make a document invalid; the error names both, never the key. Quotas are asked of a FleetLimiter, which does not exist yet. Without accounts all headers pass as before.

--- a/client.go
+++ b/client.go
@@ -14,6 +14,11 @@
 	// Header holds the forwarded headers, without hop-by-hop headers.
 	Header http.Header
 	Body   []byte
+	// HideCredentials is set if accounts are declared: leaves are then not shown the client's key, and Account replaces whatever the client
+	// said of its account.
+	HideCredentials bool
+	// Account is the client's account, empty if it has none.
+	Account AccountName
 }
 
 // ClientRequest is one request of a client to a route.
@@ -25,6 +30,8 @@
 	// DeadlineMs is how long the client waits from now on, 0 if not stated.
 	DeadlineMs Millis
 	Forwarded  ForwardedRequest
+	// Key is the digest of the client's key, nil if the request has none.
+	Key *KeyDigest `codec:"-"`
 }
 
 // LeafAnswer is a leaf's answer to a forwarded request, which is passed to the client unchanged.
--- a/errors.go
+++ b/errors.go
@@ -36,6 +36,10 @@
 	CodeRestartWatch  Code = "restart-watch"
 	CodeUnknownCaller Code = "unknown-caller"
 	CodeNotLeader     Code = "not-leader"
+	// CodeUnauthorized means that the request has no key, or that of no account.
+	CodeUnauthorized Code = "unauthorized"
+	// CodeOverQuota means that the account's quota is used up.
+	CodeOverQuota Code = "over-quota"
 	// CodeQuarantined means that leaves crash when they run the request.
 	CodeQuarantined Code = "quarantined"
 )
--- /dev/null
+++ b/fleetlimit.go
@@ -0,0 +1,39 @@
+package samphirepass
+
+import (
+	"context"
+	"strconv"
+)
+
+// LimitKey identifies a limit that all gateways share.
+type LimitKey string
+
+// AccountLimitKey returns the key of an account's quota.
+func AccountLimitKey(name AccountName) LimitKey { return LimitKey("account/" + string(name)) }
+
+// WarmUpLimitKey returns the key of the limit of a cold leaf. A restarted leaf has a new one.
+func WarmUpLimitKey(leaf Leaf, incarnation Incarnation) LimitKey {
+	return LimitKey("warm-up/" + strconv.FormatUint(uint64(incarnation), 10) + "/" + string(leaf))
+}
+
+// RateLimit is a rate of requests, and the number of requests that may come at once in addition.
+type RateLimit struct {
+	PerSecond float64
+	Burst     float64
+}
+
+// LimitVerdict is the decision on one request.
+type LimitVerdict struct {
+	// Granted is set if the request is within the limit. It has been counted then.
+	Granted bool
+	// RetryAfterMs is the time after which another request is worthwhile, if this one is not granted.
+	RetryAfterMs Millis
+}
+
+// FleetLimiter keeps requests within limits that all gateways share, without a message for each request. It is safe for concurrent use.
+type FleetLimiter interface {
+	// Take counts one request. It waits up to wait for an answer of the fleet if this gateway has no share of the limit yet.
+	Take(ctx context.Context, key LimitKey, wait Millis) LimitVerdict
+	// Return gives back a granted request that has not run.
+	Return(key LimitKey)
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -59,9 +59,11 @@
 	Quarantine *policy.Quarantine
 	// OnSuspicion is called with what this gateway adds to Quarantine, for the other gateways.
 	OnSuspicion func(samphirepass.Suspicion)
-	Metrics     *metrics.Metrics
-	Clock       samphirepass.Clock
-	Log         logs.Logger
+	// Quotas keeps the quotas of accounts over all gateways; nil means that none are kept.
+	Quotas  samphirepass.FleetLimiter
+	Metrics *metrics.Metrics
+	Clock   samphirepass.Clock
+	Log     logs.Logger
 }
 
 // Dispatcher answers requests by the current routing document. It implements samphirepass.Dispatcher and is safe for concurrent use.
@@ -148,12 +150,24 @@
 	if !ok {
 		return d.refuse(r, router.routing.Version, samphirepass.Refuse(samphirepass.CodeNotFound, "no route for this host and path"))
 	}
+	account, ok := router.Authenticate(route, r.Key)
+	if !ok {
+		return d.refuse(r, router.routing.Version, samphirepass.Refuse(samphirepass.CodeUnauthorized, "the route needs the key of an account"))
+	}
+	r.Forwarded.HideCredentials = router.routing.HasAccounts
+	if account != nil {
+		r.Forwarded.Account = account.Name
+		if account.HasRank {
+			route.Rank = account.Rank
+		}
+	}
 	shards := router.SelectServices(route)
 	delivery := newDelivery(r, route, shards)
 	if delivery.PartialAfterMs > 0 {
 		delivery.PartialAfterMs = max(delivery.PartialAfterMs-(d.opts.Clock.Now()-began), 1)
 	}
 	var result leaf.DeliveryResult
+	admitted := false
 	answer, refusal := d.checkCoverage(delivery)
 	if refusal == nil {
 		refusal = d.checkCut(delivery)
@@ -161,6 +175,9 @@
 	if refusal == nil {
 		delivery.Probe, refusal = d.checkQuarantine(delivery)
 	}
+	if refusal == nil {
+		admitted, refusal = d.checkQuota(ctx, account, delivery)
+	}
 	if refusal == nil {
 		deliverCtx, cancel := context.WithTimeout(ctx, delivery.Request.DeadlineMs.Duration())
 		defer cancel()
@@ -176,6 +193,9 @@
 			d.referElsewhere(refusal)
 		}
 	}
+	if admitted && refusal != nil && refusal.NotRun {
+		d.opts.Quotas.Return(samphirepass.AccountLimitKey(account.Name))
+	}
 	d.recordResult(router, delivery, result, refusal, d.opts.Clock.Now()-began)
 	if refusal != nil {
 		return answer, refusal
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -24,6 +24,8 @@
 	shards map[samphirepass.Service]bool
 	// maxShards is the largest number of shards of a route.
 	maxShards int
+	// accounts holds the client accounts by the digests of their keys.
+	accounts map[samphirepass.KeyDigest]*samphirepass.Account
 }
 
 // NewRouter returns a router for a valid document.
@@ -43,12 +45,36 @@
 			r.balancers[route.Key()] = newWeightedRoundRobin(route.Services)
 		}
 	}
+	r.accounts = accountsByKey(routing.Accounts)
 	for _, routes := range r.hosts {
 		slices.SortFunc(routes, func(a, b samphirepass.Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	return r
 }
 
+func accountsByKey(accounts []samphirepass.Account) map[samphirepass.KeyDigest]*samphirepass.Account {
+	byKey := make(map[samphirepass.KeyDigest]*samphirepass.Account, len(accounts))
+	for i := range accounts {
+		for _, key := range accounts[i].Keys {
+			byKey[key] = &accounts[i]
+		}
+	}
+	return byKey
+}
+
+// Authenticate returns the account of a request to the route, nil if it needs none, and reports whether the request may be sent.
+func (r *Router) Authenticate(route samphirepass.Route, key *samphirepass.KeyDigest) (*samphirepass.Account, bool) {
+	if !r.routing.HasAccounts {
+		return nil, true
+	}
+	if key != nil {
+		if account := r.accounts[*key]; account != nil {
+			return account, true
+		}
+	}
+	return nil, route.Public
+}
+
 // routeLabels returns a label for each route that no other one has.
 func routeLabels(routes []samphirepass.Route) map[samphirepass.RouteKey]string {
 	count := make(map[samphirepass.RouteName]int, len(routes))
--- a/routing.go
+++ b/routing.go
@@ -52,6 +52,8 @@
 	TopK int
 	// MinShardShare is the share of the shards that must answer for the request to succeed.
 	MinShardShare float64
+	// Public routes take requests without a key, if accounts are declared.
+	Public bool
 }
 
 // RouteKey identifies a route. Requests are told apart by host and path, so several routes may have one name.
@@ -93,6 +95,19 @@
 	// Connections holds the total number of connections that each leaf of a declared service accepts, 0 if not stated.
 	Connections  map[Service]int
 	ClientLimits ClientLimits
+	// Accounts are the client accounts. If HasAccounts is set, a request to a route that is not public needs the key of one.
+	Accounts    []Account
+	HasAccounts bool
+	// WarmUps holds the warm-up of the leaves of each service that declares one.
+	WarmUps map[Service]WarmUp
+}
+
+// WarmUp declares how the leaves of a service behave after their start.
+type WarmUp struct {
+	// DurationMs is how long a leaf stays cold.
+	DurationMs Millis
+	// PerSecond is the number of requests a second that a cold leaf tolerates from all gateways together, 0 if there is no limit.
+	PerSecond float64
 }
 
 // Validate returns a refusal that names the first invalid route and field, or nil.
@@ -107,9 +122,40 @@
 		}
 		seen[route.Key()] = route.Name
 	}
+	return r.checkAccounts()
+}
+
+// checkAccounts refuses accounts of the same name, and keys that belong to two accounts.
+func (r Routing) checkAccounts() error {
+	names := make(map[AccountName]bool, len(r.Accounts))
+	owners := make(map[KeyDigest]AccountName, len(r.Accounts))
+	for i, a := range r.Accounts {
+		if a.Name == "" {
+			return invalidAccount(i, "name", "the account has no name")
+		}
+		if names[a.Name] {
+			return invalidAccount(i, "name", fmt.Sprintf("another account is named %q, too", a.Name))
+		}
+		names[a.Name] = true
+		if !(a.Quota.PerSecond >= 0) || !(a.Quota.Burst >= 0) {
+			return invalidAccount(i, "quota", fmt.Sprintf("the quota of account %q is below 0", a.Name))
+		}
+		for _, key := range a.Keys {
+			if owner, taken := owners[key]; taken && owner != a.Name {
+				return invalidAccount(i, "keys", fmt.Sprintf("accounts %q and %q share a key", owner, a.Name))
+			}
+			owners[key] = a.Name
+		}
+	}
 	return nil
 }
 
+func invalidAccount(i int, field, problem string) error {
+	refusal := Refuse(CodeInvalid, "%s", problem)
+	refusal.Field = fmt.Sprintf("accounts[%d].%s", i, field)
+	return refusal
+}
+
 func invalidRoute(i int, route Route, field, problem string) error {
 	refusal := Refuse(CodeInvalid, "route %q: %s", route.Name, problem)
 	refusal.Field = fmt.Sprintf("routes[%d].%s", i, field)
--- a/settings/node.go
+++ b/settings/node.go
@@ -25,6 +25,21 @@
 	Slack float64 `json:"slack" validate:"min=0,max=1000000"`
 }
 
+// Quota states how far the requests of a client account may exceed its quota in any window.
+type Quota struct {
+	WindowMs samphirepass.Millis `json:"window-ms" validate:"required,min=100,max=600000"`
+	// Overage is the fraction of the quota's requests in a window that may run in addition, Slack a number of requests.
+	Overage float64 `json:"overage" validate:"min=0,max=10"`
+	Slack   float64 `json:"slack" validate:"min=0,max=1000000"`
+}
+
+// WarmUp bounds the requests that a cold leaf gets in one second.
+type WarmUp struct {
+	// Factor times the rate that the leaf's service declares, and Slack requests, are the most that it may get.
+	Factor float64 `json:"factor" validate:"min=1,max=100"`
+	Slack  float64 `json:"slack" validate:"min=0,max=1000000"`
+}
+
 // Node is the settings file of a gateway or a registrar.
 type Node struct {
 	Role       Role                    `json:"role" validate:"required,oneof=gateway registrar"`
@@ -63,8 +78,31 @@
 	RetryBudget RetryBudget `json:"retry-budget" validate:"required"`
 	// StopMs is the time between the stop signal and the forced termination.
 	StopMs samphirepass.Millis `json:"stop-ms" validate:"required,min=500,max=600000"`
+	// DataCentres are all data centres of the deployment; operators may evacuate these.
+	DataCentres []samphirepass.DataCentre `json:"data-centres,omitempty" validate:"max=1000,dive,min=1,max=128"`
+	// Quota is nil where no client accounts have quotas.
+	Quota *Quota `json:"quota,omitempty" validate:"omitempty"`
+	// WarmUp is nil where cold leaves have no limit.
+	WarmUp *WarmUp `json:"warm-up,omitempty" validate:"omitempty"`
+	// MemoryMb is the memory of the process in megabytes, 0 if unknown.
+	MemoryMb float64 `json:"memory-mb,omitempty" validate:"min=0,max=100000000"`
+	// MaxDescriptors is the number of descriptors that the process may open, 0 if unknown.
+	MaxDescriptors int `json:"max-descriptors,omitempty" validate:"min=0,max=100000000"`
+	// Balancing determines whether leaves are chosen by their measured speeds, BalancingOff if left out.
+	Balancing Balancing `json:"balancing,omitempty" validate:"omitempty,oneof=auto on off"`
 }
 
+// Balancing determines whether leaves are chosen by their measured speeds.
+type Balancing string
+
+// The values of Balancing.
+const (
+	// BalancingAuto chooses by measured speeds where they differ.
+	BalancingAuto Balancing = "auto"
+	BalancingOn   Balancing = "on"
+	BalancingOff  Balancing = "off"
+)
+
 // ReadNode reads and validates the settings file of a gateway or a registrar at path.
 func ReadNode(path string) (Node, error) {
 	data, err := os.ReadFile(path)
