--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -26,6 +26,23 @@
 	require.Equal(t, 3, n.Voters())
 }
 
+// TestOptionalSections guards against a gateway that does not start because its settings bound quotas or cold leaves.
+func TestOptionalSections(t *testing.T) {
+	n, err := settings.ParseNode([]byte(validNode))
+	require.NoError(t, err)
+	require.Nil(t, n.Quota)
+	require.Nil(t, n.WarmUp)
+	const sections = `"quota": {"window-ms": 5000, "overage": 0.1, "slack": 20}, "warm-up": {"factor": 1.5, "slack": 5},
+		"data-centres": ["derby"], "memory-mb": 184, "max-descriptors": 4100, "balancing": "auto", "stop-ms"`
+	n, err = settings.ParseNode([]byte(strings.Replace(validNode, `"stop-ms"`, sections, 1)))
+	require.NoError(t, err)
+	require.Equal(t, &settings.Quota{WindowMs: 5000, Overage: 0.1, Slack: 20}, n.Quota)
+	require.Equal(t, &settings.WarmUp{Factor: 1.5, Slack: 5}, n.WarmUp)
+	_, err = settings.ParseNode([]byte(strings.Replace(validNode, `"stop-ms"`, `"quota": {"overage": 0.1}, "warm-up": null, "stop-ms"`, 1)))
+	require.ErrorContains(t, err, "quota.window-ms:")
+	require.ErrorContains(t, err, "warm-up:")
+}
+
 func TestParseNodeRefuses(t *testing.T) {
 	tests := map[string]struct{ old, new, path string }{
 		"unknown role":            {`"registrar"`, `"both"`, "role"},
--- a/strict/strict.go
+++ b/strict/strict.go
@@ -168,6 +168,10 @@
 
 // walk checks v and the values in it against type t, and records the line and the validate tag of each path.
 func (d *decoder) walk(v *hujson.Value, t reflect.Type, path string) {
+	if t.Kind() == reflect.Pointer {
+		// The field is optional; null is refused like a value of another type.
+		t = t.Elem()
+	}
 	d.lines[path] = d.line(v.StartOffset)
 	switch {
 	case t == rawMessageType:
