collector, directory: Refuse parts of which the entry knows more leaves, and connect to new collectors at once

The entry now says of how many shards it knows a leaf, and a collector that knows fewer refuses the part as not run, so that another collector or the entry itself takes it. Shards that nobody knows are no reason.

New offers and routing documents wake the loop.

--- a/collector/client.go
+++ b/collector/client.go
@@ -83,6 +83,8 @@
 	degradedUntil map[shardLocation]samphirepass.Millis
 	// conditions holds the condition in which each offered collector was last seen.
 	conditions map[string]samphirepass.CollectorCondition
+	// wake receives a value when Serve should look for missing connections at once.
+	wake chan struct{}
 }
 
 // shardLocation is a shard together with the data centre of some of its leaves.
@@ -93,7 +95,7 @@
 
 // NewClient returns a client that has not used any collector yet.
 func NewClient(opts Options) *Client {
-	return &Client{opts: opts, collectors: map[string]*collectorState{}, degradedUntil: map[shardLocation]samphirepass.Millis{}, conditions: map[string]samphirepass.CollectorCondition{}}
+	return &Client{opts: opts, collectors: map[string]*collectorState{}, degradedUntil: map[shardLocation]samphirepass.Millis{}, conditions: map[string]samphirepass.CollectorCondition{}, wake: make(chan struct{}, 1)}
 }
 
 // Covered returns the number of shards with at least one eligible leaf.
@@ -133,12 +135,23 @@
 		c.logConditions()
 		select {
 		case <-t.C:
+		case <-c.wake:
 		case <-ctx.Done():
 			return fmt.Errorf("connect to collectors: %w", ctx.Err())
 		}
 	}
 }
 
+// Wake makes Serve read the offers anew and open missing connections at once. After a restart of all processes each request over shards
+// would otherwise wait for the next interval, or be delivered without collectors.
+func (c *Client) Wake() {
+	c.snapshot.Store(nil)
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
 // deliverPart forwards a part of the shards to a collector, or asks the leaves from this entry if no collector takes it. If the
 // collector still waits for leaves, rest returns the complete result.
 func (c *Client) deliverPart(ctx context.Context, d leaf.Delivery, p part, dataCentres [][]samphirepass.DataCentre, offers []directory.CollectorOffer) (result leaf.DeliveryResult, rest restFunc) {
@@ -275,7 +288,7 @@
 		go cancelIfSilent(callCtx, cancel, c.opts.Clock, peerClient, d.PartialAfterMs+d.GraceMs+overdueMarginMs)
 	}
 	began := c.startRequest(address)
-	req := collectRequest{Delivery: withElapsed(d, roundTripMs)}
+	req := collectRequest{Delivery: withElapsed(d, roundTripMs), KnownShards: c.knownShards(d.Shards)}
 	// Delivery.Shards already holds the shards.
 	req.Delivery.Route.ShardServices = nil
 	var reply collectReply
@@ -295,6 +308,17 @@
 	return reply.result(), rest, true
 }
 
+// knownShards counts the shards of which this entry knows a serving leaf, in whatever data centre.
+func (c *Client) knownShards(shards []samphirepass.Service) int {
+	n := 0
+	for _, s := range shards {
+		if len(c.opts.Registry.Serving(s)) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // collectRest waits for the complete result of a request of which a collector has returned the answers so far. Without it these count. If ctx
 // has ended, it releases the delivery at the collector instead.
 func (c *Client) collectRest(ctx context.Context, address string, id samphirepass.RequestID, partial collectReply) leaf.DeliveryResult {
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -35,6 +35,8 @@
 	// late is the number of shards that answer lateBy after the time of the partial answer.
 	late   int
 	lateBy time.Duration
+	// unknown is the number of shards of which it knows no leaf.
+	unknown int
 	// cancelled counts the deliveries whose context ended early.
 	cancelled atomic.Int64
 
@@ -48,7 +50,9 @@
 	d.wait = wait
 }
 
-func (d *fakeDeliverer) Covered(shards []samphirepass.Service) int { return len(shards) }
+func (d *fakeDeliverer) Covered(shards []samphirepass.Service) int {
+	return max(len(shards)-d.unknown, 0)
+}
 
 func (d *fakeDeliverer) Deliver(ctx context.Context, delivery leaf.Delivery) leaf.DeliveryResult {
 	d.mu.Lock()
@@ -255,6 +259,60 @@
 
 // TestLostRequestIsNotSentAgain cuts the connection after the collector has read the request: it may have asked leaves already, so
 // neither another collector nor the entry itself may ask leaves of the same shards.
+// TestProofCollectorWithoutLeavesCostsNoRequest guards against requests that fail because one of their collectors has not learned of new
+// leaves: a collector that is cut off from the registrars while an index is repartitioned failed each request at once, although other
+// collectors knew the leaves.
+func TestProofCollectorWithoutLeavesCostsNoRequest(t *testing.T) {
+	local, remote := startCollector(t, 0), startCollector(t, 0)
+	local.deliverer.unknown = 1
+	small, _ := startEntryWithRegistry(t, 1, registryWithRemoteShard(), local, remote)
+	result := small.Deliver(t.Context(), scatterGatherDelivery())
+	require.Equal(t, 3, result.Answered)
+	require.Empty(t, local.deliverer.calls())
+
+	// A shard of which nobody knows a leaf is no reason to refuse.
+	known, unknown := registryWithRemoteShard(), scatterGatherDelivery()
+	unknown.Shards = append(unknown.Shards, "s4")
+	unknown.Route.ShardServices = unknown.Shards
+	local, remote = startCollector(t, 0), startCollector(t, 0)
+	local.deliverer.unknown = 1
+	small, _ = startEntryWithRegistry(t, 1, known, local, remote)
+	small.Deliver(t.Context(), unknown)
+	require.Len(t, local.deliverer.calls(), 1)
+}
+
+// TestOffersAreConnectedAtOnce guards against the first requests after a restart that find no connection to a collector until the next
+// interval, 250 ms later.
+func TestOffersAreConnectedAtOnce(t *testing.T) {
+	tc := startCollector(t, 0)
+	peers := &peer.Pool{}
+	t.Cleanup(peers.Close)
+	var offered atomic.Bool
+	read := make(chan struct{}, 100)
+	c := collector.NewClient(collector.Options{
+		VM: "small", Local: &fakeDeliverer{}, Registry: leaf.NewRegistry(clock), Peers: peers, DataCentre: "derby", Capacity: samphirepass.Capacity{Cores: 1}, Clock: clock,
+		Offers: func() []directory.CollectorOffer {
+			defer func() { read <- struct{}{} }()
+			if !offered.Load() {
+				return nil
+			}
+			return []directory.CollectorOffer{{Address: tc.relay.Address(), DataCentre: "derby", Capacity: samphirepass.Capacity{Cores: 2}}}
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = c.Serve(ctx) }()
+	<-read
+	offered.Store(true)
+	began := time.Now()
+	c.Wake()
+	require.Eventually(t, func() bool {
+		_, connected := peers.Get(tc.relay.Address()).SinceLastFrame()
+		return connected
+	}, 5*time.Second, time.Millisecond)
+	require.Less(t, time.Since(began), 200*time.Millisecond)
+}
+
 func TestLostRequestIsNotSentAgain(t *testing.T) {
 	first, second := startCollector(t, time.Minute), startCollector(t, 0)
 	second.stopping.Store(true)
--- a/collector/messages.go
+++ b/collector/messages.go
@@ -74,4 +74,6 @@
 // applies, not that of the collector.
 type collectRequest struct {
 	Delivery leaf.Delivery
+	// KnownShards is the number of shards of which the entry knows a leaf.
+	KnownShards int
 }
--- a/collector/server.go
+++ b/collector/server.go
@@ -65,6 +65,12 @@
 	if s.stopping() {
 		return collectReply{}, samphirepass.Refuse(samphirepass.CodeStopping, "the collector is stopping")
 	}
+	if covered := s.deliverer.Covered(d.Shards); covered < req.KnownShards {
+		// This collector lacks announcements, for example because it is cut off from the registrars. Others can answer the request.
+		s.load.addRefused()
+		s.log.RequestEvent("Collect request refused: too few leaves are known.", "request", d.Request.ID, "shards", len(d.Shards), "known", covered, "known-to-entry", req.KnownShards)
+		return collectReply{}, samphirepass.Refuse(samphirepass.CodeUnavailable, "leaves are known for %d shards, the entry knows leaves of %d", covered, req.KnownShards)
+	}
 	inFlight := s.inFlight.Add(1)
 	if inFlight > maxInFlight {
 		s.inFlight.Add(-1)
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -88,6 +88,7 @@
 	g.follower = directory.NewFollower(directory.FollowerOptions{
 		VM: cfg.VM, DataCentre: cfg.DataCentre, Seeds: cfg.SeedPeers(), Registry: g.registry, Peers: g.peers, Quarantine: quarantine,
 		Clock: clock, OnRouting: g.applyRouting, Capacity: cfg.Capacity(), CollectAddress: cfg.CollectAddress(), Logf: log.For("directory").Infof,
+		OnCollectorOffers: func() { g.collectorClient.Wake() },
 	})
 	sender := leaf.NewSender(g.pool, platform.LeafProtocol{}, clock)
 	sender.OnNotice = g.follower.HandleNotice
@@ -144,6 +145,7 @@
 	}
 	if g.dispatcher.ApplyRouting(routing) {
 		g.deliverer.Retain(routing.Routes)
+		g.collectorClient.Wake()
 		log.Event("Routing in force.", "version", routing.Version, "routes", len(routing.Routes))
 	}
 }
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -74,6 +74,8 @@
 	OnEntries func([]samphirepass.VM)
 	// OnOffers is called with the offers of the entries that follow a source, at each of its replies; it may be nil.
 	OnOffers func([]CollectorOffer)
+	// OnCollectorOffers is called when a source has sent other offers than before; it may be nil.
+	OnCollectorOffers func()
 	// Capacity is the capacity of this process if it is an entry.
 	Capacity samphirepass.Capacity
 	// CollectAddress is the peer address at which this entry collects for smaller ones, empty if it does not.
@@ -355,15 +357,15 @@
 	if f.opts.OnOffers != nil {
 		f.opts.OnOffers(reply.DirectOffers)
 	}
+	if f.updateOffers(address, reply) && f.opts.OnCollectorOffers != nil {
+		f.opts.OnCollectorOffers()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opts.Clock.Now()
 	s := f.sources[address]
 	s.epoch, s.leavesVersion, s.dataCentre, s.listedAt, s.suspicionsVersion = reply.Epoch, reply.LeavesVersion, reply.DataCentre, now, reply.SuspicionsVersion
 	s.hasDisk = reply.HasDisk
-	if reply.OffersVersion != s.offersVersion {
-		s.offers, s.offersVersion = reply.Offers, reply.OffersVersion
-	}
 	s.stale = reply.SinceLeaderContactMs > staleLeaderMs
 	if at := now - reply.SinceLeaderContactMs; !f.leaderContacted || at > f.leaderContactAt {
 		f.leaderContactAt, f.leaderContacted = at, true
@@ -385,6 +387,18 @@
 	return s.stale && f.opts.ControlAddress == "" && f.hasAlternativeLocked()
 }
 
+// updateOffers keeps the offers of a reply and reports whether they differ from those before.
+func (f *Follower) updateOffers(address string, reply followReply) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.sources[address]
+	if reply.OffersVersion == s.offersVersion {
+		return false
+	}
+	s.offers, s.offersVersion = reply.Offers, reply.OffersVersion
+	return true
+}
+
 // AddEndpoint adds a source that was discovered by other means than the replies of sources.
 func (f *Follower) AddEndpoint(e Endpoint) {
 	f.mu.Lock()
