--- a/clock.go
+++ b/clock.go
@@ -37,3 +37,10 @@
 func (SystemClock) Wall() Millis {
 	return Millis(float64(time.Now().UnixMicro()) / 1000)
 }
+
+// BootClock tells a time that leases can be measured with. Unlike Clock.Now it goes on while the machine is suspended, and unlike Clock.Wall
+// it never steps. It is safe for concurrent use.
+type BootClock interface {
+	// Boot returns milliseconds on a scale whose zero is arbitrary. Processes on one machine share it.
+	Boot() Millis
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -20,6 +20,7 @@
 	"samphirepass/peer"
 	"samphirepass/platform"
 	"samphirepass/policy"
+	"samphirepass/quota"
 	"samphirepass/settings"
 	"samphirepass/web"
 )
@@ -71,6 +72,9 @@
 	// wasReady is set once the gateway has reported ready.
 	wasReady atomic.Bool
 
+	// limits is nil where the settings declare no limits that all gateways share.
+	limits *quota.Client
+
 	budgetMu sync.Mutex
 	budgets  map[samphirepass.Service]samphirepass.Budget
 }
@@ -102,6 +106,7 @@
 		Address: cfg.CollectAddress(), Collecting: g.follower.IsCollector, Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
 	})
 	g.dispatcher = gateway.NewDispatcher(gateway.Options{
+		Quotas:    g.newLimiter(cfg.Quota != nil),
 		Deliverer: g.collectorClient, Ending: g.ending, Quarantine: quarantine, OnSuspicion: g.follower.ReportSuspicion, Metrics: g.metrics, Clock: clock, Log: log.For("gateway"),
 	})
 	return g, g.listen()
--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -91,6 +91,7 @@
 	if cfg.DataFolder == "" {
 		control.RegisterDiskless(r.handlers, cfg.VM)
 	}
+	r.serveLimits()
 	return r, r.listen()
 }
 
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -449,6 +449,19 @@
 	}
 }
 
+// DiskEndpoints returns the other control processes that are known to have a disk.
+func (f *Follower) DiskEndpoints() []Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var endpoints []Endpoint
+	for address, s := range f.sources {
+		if s.hasDisk && address != f.opts.ControlAddress {
+			endpoints = append(endpoints, Endpoint{Address: address, DataCentre: s.dataCentre, HasDisk: true})
+		}
+	}
+	return endpoints
+}
+
 // DiskAddresses returns the peer addresses of the other control processes that are known to have a disk.
 func (f *Follower) DiskAddresses() []string {
 	f.mu.Lock()
--- a/fleetlimit.go
+++ b/fleetlimit.go
@@ -30,10 +30,40 @@
 	RetryAfterMs Millis
 }
 
-// FleetLimiter keeps requests within limits that all gateways share, without a message for each request. It is safe for concurrent use.
+// FleetLimiter keeps requests within limits that all gateways share. It is safe for concurrent use.
 type FleetLimiter interface {
-	// Take counts one request. It waits up to wait for an answer of the fleet if this gateway has no share of the limit yet.
+	// Take counts one request. If this gateway holds no token of the limit, it waits up to wait for one.
 	Take(ctx context.Context, key LimitKey, wait Millis) LimitVerdict
 	// Return gives back a granted request that has not run.
 	Return(key LimitKey)
 }
+
+// FleetLimit is a limit of the whole fleet: in any window of WindowMs all gateways together grant at most
+// (PerSecond x window + Burst) x (1 + Overage) + Slack requests.
+type FleetLimit struct {
+	RateLimit
+	WindowMs Millis
+	Overage  float64
+	Slack    float64
+	// Unlimited is set if any number of requests may run for now. The other fields have no meaning then.
+	Unlimited bool
+}
+
+// FleetLimits tells the issuers of tokens what a limit is. It is safe for concurrent use and fast, as it is asked for every token.
+type FleetLimits interface {
+	// FleetLimit returns a limit, or false if the source does not know the key; nothing is granted then.
+	FleetLimit(key LimitKey) (FleetLimit, bool)
+}
+
+// FleetLimitSources asks several sources, one for each kind of limits, and takes the first that knows a key.
+type FleetLimitSources []FleetLimits
+
+// FleetLimit implements FleetLimits.
+func (s FleetLimitSources) FleetLimit(key LimitKey) (FleetLimit, bool) {
+	for _, source := range s {
+		if limit, ok := source.FleetLimit(key); ok {
+			return limit, true
+		}
+	}
+	return FleetLimit{}, false
+}
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -9,9 +9,9 @@
 
 const (
 	// quotaWaitDivisor divides a route's latency target into the time that a request waits for a share of its account's quota.
-	quotaWaitDivisor = 8
+	quotaWaitDivisor = 2
 	// maxQuotaWaitMs bounds that time.
-	maxQuotaWaitMs samphirepass.Millis = 30
+	maxQuotaWaitMs samphirepass.Millis = 50
 )
 
 // checkQuota counts a request against its account's quota and refuses it if that is used up. counted is set if the request was counted.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -44,6 +44,9 @@
 	// totalAttempts and totalExtra are the sums of attempts and extra over all services.
 	totalAttempts, totalExtra atomic.Int64
 
+	// limits is nil unless EnableLimits has been called.
+	limits *limitMetrics
+
 	mu sync.Mutex
 	// labelValues holds the callers and routes that have a label value of their own.
 	labelValues map[samphirepass.Caller]bool
