leaf, directory: Propagate changes of a leaf's remaining warm-up time

A change of ColdMs alone was kept by the registrar that received it, so that gateways did not learn that a leaf had turned cold after its start or was warm early. AgedAnnouncement also had no age of ColdMs: relayed heartbeats made an old warm-up look new to a process that learned late.

The registry now keeps the end of the warm-up on its own clock and sends it on when it differs from what other processes believe: a start, an early end, or an extension, the latter at the latest 4 s before the known end, as a leaf without traffic states the same time with each heartbeat. The remaining time travels in a field of its own. A registrar that receives an older announcement with another state sends its own again.

--- a/announce.go
+++ b/announce.go
@@ -48,14 +48,15 @@
 	StartedMs Millis `json:"started-ms,omitempty" validate:"min=0"`
 }
 
+// MaxColdMs bounds the warm-up time that a leaf may state.
+const MaxColdMs Millis = 3600 * 1000
+
 const (
 	// maxNameBytes bounds the names in an announcement.
 	maxNameBytes = 256
 	// maxLeafSlots and maxLeafConnections bound what a leaf may say that it takes, so that sums and products of them do not overflow.
 	maxLeafSlots       = 10_000
 	maxLeafConnections = 100_000
-	// maxColdMs bounds the warm-up time that a leaf may state.
-	maxColdMs Millis = 3600 * 1000
 	// maxHoldings and maxHoldingShards bound what a leaf holds.
 	maxHoldings      = 64
 	maxHoldingShards = 100_000
@@ -79,8 +80,8 @@
 		return outOfBounds("slots", "0 to %d", maxLeafSlots)
 	case a.Connections < 0 || a.Connections > maxLeafConnections:
 		return outOfBounds("connections", "0 to %d", maxLeafConnections)
-	case !(a.ColdMs >= 0 && a.ColdMs <= maxColdMs):
-		return outOfBounds("cold-ms", "0 to %.0f", maxColdMs)
+	case !(a.ColdMs >= 0 && a.ColdMs <= MaxColdMs):
+		return outOfBounds("cold-ms", "0 to %.0f", MaxColdMs)
 	case !(a.StartedMs >= 0):
 		return outOfBounds("started-ms", "at least 0")
 	case len(a.Holdings) > maxHoldings:
--- a/directory/disk_cache.go
+++ b/directory/disk_cache.go
@@ -74,7 +74,9 @@
 	}
 	for _, a := range state.Leaves {
 		// The age is capped, so that each leaf has time for a heartbeat before it counts as silent.
-		c.registry.Apply(a.Announcement, min(a.AgeMs, leaf.SilentMs/2), false)
+		// A warm-up counts from now, as it is not known how long this process was down; a limit is heard of again with the next answer.
+		a.AgeMs, a.Limit = min(a.AgeMs, leaf.SilentMs/2), nil
+		c.registry.ApplyAged(a)
 	}
 	c.source.restoreCounts(state.Entries, state.Collectors)
 	c.log("Loaded %d leaves from the leaf cache, to be confirmed by heartbeats; limits are shared among %d entries, %d of them collectors.",
--- a/fleetlimit.go
+++ b/fleetlimit.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 )
 
+const warmUpKeyPrefix = "warm-up/"
+
 // LimitKey identifies a limit that all gateways share.
 type LimitKey string
 
@@ -13,7 +16,18 @@
 
 // WarmUpLimitKey returns the key of the limit of a cold leaf. A restarted leaf has a new one.
 func WarmUpLimitKey(leaf Leaf, incarnation Incarnation) LimitKey {
-	return LimitKey("warm-up/" + strconv.FormatUint(uint64(incarnation), 10) + "/" + string(leaf))
+	return LimitKey(warmUpKeyPrefix + strconv.FormatUint(uint64(incarnation), 10) + "/" + string(leaf))
+}
+
+// ParseWarmUpLimitKey returns the leaf and the incarnation of a key that WarmUpLimitKey returned; ok is false for other keys.
+func ParseWarmUpLimitKey(key LimitKey) (leaf Leaf, incarnation Incarnation, ok bool) {
+	rest, ok := strings.CutPrefix(string(key), warmUpKeyPrefix)
+	number, name, separated := strings.Cut(rest, "/")
+	n, err := strconv.ParseUint(number, 10, 64)
+	if !ok || !separated || err != nil {
+		return "", 0, false
+	}
+	return Leaf(name), Incarnation(n), true
 }
 
 // RateLimit is a rate of requests, and the number of requests that may come at once in addition.
--- a/leaf/notices.go
+++ b/leaf/notices.go
@@ -80,16 +80,28 @@
 
 // aged returns the registration as it is sent to other processes.
 func (r Registration) aged(now samphirepass.Millis) AgedAnnouncement {
-	a := AgedAnnouncement{Announcement: r.Announcement, AgeMs: now - r.LastSeenMs}
+	left := r.ColdLeftMs(now)
+	a := AgedAnnouncement{Announcement: r.Announcement, AgeMs: now - r.LastSeenMs, ColdLeftMs: &left}
 	if r.limit.heardAt > 0 {
 		a.Limit = &samphirepass.LeafLimit{PerSecond: r.LimitPerSecond(now), AgeMs: now - r.limit.heardAt}
 	}
 	return a
 }
 
+// coldLeft returns the remaining warm-up time of the leaf, within the bounds of what leaves may state.
+func (a AgedAnnouncement) coldLeft() samphirepass.Millis {
+	if a.ColdLeftMs == nil || !(*a.ColdLeftMs >= 0) {
+		return a.Announcement.ColdMs - max(a.AgeMs, 0)
+	}
+	return min(*a.ColdLeftMs, samphirepass.MaxColdMs)
+}
+
 // ApplyAged applies what another process sent of a leaf.
 func (r *Registry) ApplyAged(a AgedAnnouncement) {
-	r.Apply(a.Announcement, a.AgeMs, false)
+	left := a.coldLeft()
+	if newer, _ := r.apply(a.Announcement, a.AgeMs, left, false); !newer {
+		r.repeatColdness(a.Announcement, left)
+	}
 	if a.Limit != nil {
 		r.SetLimit(a.Announcement.Leaf, a.Announcement.Incarnation, *a.Limit, true)
 	}
--- a/leaf/registry.go
+++ b/leaf/registry.go
@@ -41,6 +41,7 @@
 	// Direct is set if the leaf itself sent the announcement to this process.
 	Direct bool
 	limit  knownLimit
+	cold   coldness
 	// contentHash covers all of the announcement but Sequence and ColdMs.
 	contentHash uint64
 	// changedVersion is the registry's version at which contentHash last changed.
@@ -53,6 +54,9 @@
 	AgeMs        samphirepass.Millis
 	// Limit is the limit that the leaf named last, nil if it never named one.
 	Limit *samphirepass.LeafLimit
+	// ColdLeftMs is the remaining warm-up time of the leaf, 0 if it is warm. It is nil if the sender does not state it. AgeMs does not
+	// tell the age of Announcement.ColdMs, as heartbeats that were not sent on may have come since.
+	ColdLeftMs *samphirepass.Millis
 }
 
 // Heartbeat tells another process, which has the announcement already, that the leaf is alive.
@@ -66,6 +70,8 @@
 // Registry holds the newest announcement of each leaf; it is safe for concurrent use.
 type Registry struct {
 	clock samphirepass.Clock
+	// OnColdness is called with each change of a leaf's coldness that is sent to other processes. It may be nil, and is set before use.
+	OnColdness func(ColdnessChange)
 
 	mu     sync.RWMutex
 	leaves map[samphirepass.Leaf]Registration
@@ -109,11 +115,24 @@
 }
 
 // Apply registers an announcement of the given age unless a newer one is known or it is out of bounds. It reports whether it did,
-// and whether more than Sequence and ColdMs changed.
+// and whether more changed than Sequence and a ColdMs that passes with the time.
 func (r *Registry) Apply(a samphirepass.Announcement, age samphirepass.Millis, direct bool) (newer, changed bool) {
+	return r.apply(a, age, a.ColdMs-max(age, 0), direct)
+}
+
+// apply is Apply for a leaf with the given remaining warm-up time.
+func (r *Registry) apply(a samphirepass.Announcement, age, coldLeft samphirepass.Millis, direct bool) (newer, changed bool) {
+	newer, changed, coldChange := r.applyAnnouncement(a, age, coldLeft, direct)
+	if coldChange != nil && r.OnColdness != nil {
+		r.OnColdness(*coldChange)
+	}
+	return newer, changed
+}
+
+func (r *Registry) applyAnnouncement(a samphirepass.Announcement, age, coldLeft samphirepass.Millis, direct bool) (newer, changed bool, coldChange *ColdnessChange) {
 	// Another process or a copy on disk may hold what an earlier version of this check let through.
 	if a.CheckBounds() != nil {
-		return false, false
+		return false, false, nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -121,24 +140,31 @@
 	known, ok := r.leaves[a.Leaf]
 	// Another entry may still send an announcement that has expired here.
 	if age > retention(a.State) || (ok && !a.Newer(known.Announcement)) || !r.claimAddressLocked(a) {
-		return false, false
+		return false, false, nil
 	}
 	reg := Registration{Announcement: a, LastSeenMs: now - age, FirstSeenMs: now, Direct: direct}
 	if ok && known.Incarnation == a.Incarnation {
 		reg.FirstSeenMs = known.FirstSeenMs
 		reg.LastSeenMs = max(reg.LastSeenMs, known.LastSeenMs)
 		reg.limit = known.limit
+		reg.cold = known.cold
 	}
+	knownLeft := reg.ColdLeftMs(now)
+	var coldChanged bool
+	reg.cold, coldChanged = reg.cold.next(now, coldLeft)
 	before, after := known.contentHash, hashContent(a)
 	reg.contentHash = after
 	reg.changedVersion = known.changedVersion
-	if before != after {
+	if before != after || coldChanged {
 		r.digest ^= before ^ after
 		r.incrementVersionLocked()
-		reg.changedVersion = r.version
+		reg.changedVersion, reg.cold.publishedUntil = r.version, reg.cold.until
 	}
 	r.leaves[a.Leaf] = reg
-	return true, before != after
+	if coldChanged {
+		coldChange = &ColdnessChange{Announcement: a, AgeMs: age, Direct: direct, KnownMs: knownLeft, LeftMs: reg.ColdLeftMs(now)}
+	}
+	return true, before != after || coldChanged, coldChange
 }
 
 // incrementVersionLocked increments the version and wakes the waiters.
@@ -319,7 +345,8 @@
 	return current.Incarnation != reg.Incarnation || current.State.Leaving()
 }
 
-// Version returns a number that rises whenever an announcement changes in more than Sequence and ColdMs, or is removed.
+// Version returns a number that rises whenever an announcement changes in more than Sequence and a ColdMs that passes with the time, or is
+// removed.
 func (r *Registry) Version() uint64 {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
