leaf, daemon, metrics: Keep requests to cold leaves within shared limits

A cold leaf was only dearer to the chooser: all gateways together could send it any number of requests, and one that restarts under traffic got all that had piled up.

Pool.LimitWarmUps takes a request from the leaf's shared limit before an attempt, and after the leaf's own limits were found open, so that neither is spent when the other refuses. Warm leaves come first, unless all of them are busy. A request takes the tokens of its cold shards before it sends anything, waits for all of them together for at most 30 ms or an eighth of the latency target, and is refused with the limiter's time if too few shards are left. Hedges use no cold leaf. A token is given back when nothing reached the leaf. An attempt that waited for a connection while the leaf turned cold is counted just before it is written. A leaf is warm only by news from after its warm-up, and one that nothing listens for any more gets no requests until there is news. Without a limiter, the default, nothing of this runs; the gateway has none yet.

--- a/attempt.go
+++ b/attempt.go
@@ -25,6 +25,8 @@
 	Forwarded *ForwardedRequest
 	// AtMostOnce is set for a request that must not run twice.
 	AtMostOnce bool
+	// ColdLimit is the limit of a cold leaf that the attempt has been counted in, empty if there is none.
+	ColdLimit LimitKey
 }
 
 // Reply is a leaf's answer to one attempt, which the protocol has checked against the attempt.
@@ -40,6 +42,10 @@
 	WaitedMs Millis
 	// Answer is set for a forwarded request.
 	Answer *LeafAnswer
+	// LoadReported is set if the leaf stated Load in this answer, not only because its protocol always does.
+	LoadReported bool
+	// Pace is how long work takes at the leaf now, relative to the usual time: 1 as usual, above 1 if it is slower, 0 if not stated.
+	Pace float64
 }
 
 // FailureKind classifies how an attempt failed.
@@ -79,7 +85,7 @@
 type AttemptError struct {
 	Kind FailureKind
 	Err  error
-	// Reply is the leaf's answer if Kind is FailureAnswered.
+	// Reply is the leaf's answer if Kind is FailureAnswered. For other kinds it holds at most the load that the leaf reported.
 	Reply Reply
 }
 
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -73,6 +73,9 @@
 
 	budgetMu sync.Mutex
 	budgets  map[samphirepass.Service]samphirepass.Budget
+
+	// limiter keeps requests within limits that all gateways share; it is nil where there are none.
+	limiter samphirepass.FleetLimiter
 }
 
 // NewGateway opens the listeners of a gateway; Run serves them.
@@ -103,9 +106,29 @@
 	g.dispatcher = gateway.NewDispatcher(gateway.Options{
 		Deliverer: g.collectorClient, Ending: g.ending, Quarantine: quarantine, OnSuspicion: g.follower.ReportSuspicion, Metrics: g.metrics, Clock: clock, Log: log.For("gateway"),
 	})
+	if g.limiter != nil && cfg.WarmUp != nil {
+		g.limitWarmUps()
+	}
 	return g, g.listen()
 }
 
+// limitWarmUps keeps the requests to cold leaves within limits that all gateways share.
+func (g *Gateway) limitWarmUps() {
+	log := g.log.For("warm-up")
+	g.registry.OnColdness = func(c leaf.ColdnessChange) {
+		log.Event("Leaf changed its warm-up.", "leaf", c.Announcement.Leaf, "service", c.Announcement.Service, "incarnation", c.Announcement.Incarnation,
+			"sequence", c.Announcement.Sequence, "age-ms", int(c.AgeMs), "known-ms", int(c.KnownMs), "left-ms", int(c.LeftMs))
+	}
+	g.pool.LimitWarmUps(leaf.WarmUpOptions{
+		Registry: g.registry, Limiter: g.limiter, SinceContact: g.follower.SinceLeaderContact, Logf: log.Infof,
+		PerSecond: func(s samphirepass.Service) float64 {
+			routing, _ := g.dispatcher.Routing()
+			return routing.WarmUps[s].PerSecond
+		},
+		OnOutcome: func(o leaf.TokenOutcome) { g.metrics.ColdLeafRequest(string(o)) },
+	})
+}
+
 func (g *Gateway) listen() error {
 	var err error
 	handler := &platform.ClientHandler{Dispatcher: g.dispatcher, Stopping: g.stopping.Load, Log: g.log.For("front")}
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -13,12 +13,19 @@
 
 // startAttempt starts an attempt on a leaf that the shard has not tried, and reports whether there was one within the limits.
 func (f *fanOut) startAttempt(shard int) bool {
+	return f.startAttemptOn(shard, f.untriedLeaves(shard))
+}
+
+// startAttemptOn is startAttempt for some of the leaves that the shard has not tried.
+func (f *fanOut) startAttemptOn(shard int, leaves []Registration) bool {
 	s := &f.shards[shard]
-	leaves := f.untriedLeaves(shard)
 	if f.sendsEnded || len(leaves) == 0 || s.countedAttempts >= f.fanOutOptions.maxAttempts || len(s.tried) >= f.fanOutOptions.maxAttempts+maxFreeRetries {
 		return false
 	}
-	reg, ok := f.reserveLeaf(leaves)
+	reg, key, ok := f.useToken(shard)
+	if !ok {
+		reg, key, ok = f.reserveLeaf(leaves)
+	}
 	if !ok {
 		return false
 	}
@@ -38,7 +45,7 @@
 		s.cancels = append(s.cancels, cancel)
 	}
 	a := f.newAttempt(shard)
-	a.Permit = &samphirepass.SendPermit{}
+	a.Permit, a.ColdLimit = &samphirepass.SendPermit{}, key
 	s.permits = append(s.permits, a.Permit)
 	go f.sendAttempt(ctx, shard, reg, a)
 	return true
@@ -98,6 +105,9 @@
 		f.results <- r
 	}()
 	r.reply, r.err = f.sender.Send(ctx, reg.Announcement, a)
+	if a.ColdLimit != "" && causedNoRequest(r.err) {
+		f.pool.returnToken(a.ColdLimit)
+	}
 	if r.err == nil && f.decode != nil {
 		r.err = f.decode(&r)
 	}
@@ -208,10 +218,30 @@
 // startExtraAttempt starts another attempt if takeBudget grants one. A nil takeBudget means that the attempt replaces one
 // that caused no load: it needs no budget and does not count as extra.
 func (f *fanOut) startExtraAttempt(shard int, takeBudget func() bool) bool {
-	if leaves := f.untriedLeaves(shard); f.sendsEnded || len(leaves) == 0 || f.pool.minWaitMs(leaves) > 0 || (takeBudget != nil && !takeBudget()) {
+	leaves := f.untriedLeaves(shard)
+	if f.sendsEnded || len(leaves) == 0 || f.pool.minWaitMs(leaves) > 0 || !f.takeRetryToken(shard, leaves) {
+		return false
+	}
+	return f.startExtraAttemptOn(shard, leaves, takeBudget)
+}
+
+// startHedge starts a second attempt on a shard whose first one is late. It uses no cold leaf: what these may take is for requests that
+// have no answer otherwise.
+func (f *fanOut) startHedge(shard int) bool {
+	leaves, _ := f.pool.splitCold(f.untriedLeaves(shard))
+	if f.sendsEnded || len(leaves) == 0 || f.pool.minWaitMs(leaves) > 0 {
+		return false
+	}
+	return f.startExtraAttemptOn(shard, leaves, f.budgets[shard].TakeHedge)
+}
+
+func (f *fanOut) startExtraAttemptOn(shard int, leaves []Registration, takeBudget func() bool) bool {
+	if takeBudget != nil && !takeBudget() {
+		f.returnToken(shard)
 		return false
 	}
-	if !f.startAttempt(shard) {
+	if !f.startAttemptOn(shard, leaves) {
+		f.returnToken(shard)
 		return false
 	}
 	if takeBudget == nil {
@@ -293,7 +323,7 @@
 		if !f.canHedge(i) || now-f.shards[i].hedgeFrom+timerToleranceMs < delay {
 			continue
 		}
-		if !f.startExtraAttempt(i, f.budgets[i].TakeHedge) {
+		if !f.startHedge(i) {
 			// Without budget the shard is checked again after another delay.
 			f.shards[i].hedgeFrom = now
 		}
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -232,6 +232,7 @@
 		sendsEnd: delivery.SendsEnd,
 	}
 	opts.expected = expectedLatency(opts.hedger, delivery.Route)
+	opts.tokenWait = tokenWait(delivery.Route)
 	result := DeliveryResult{RequiredShards: opts.requiredShards}
 	for i, s := range delivery.Shards {
 		opts.budgets[i] = d.budgets(s)
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -66,6 +66,8 @@
 	permits []*samphirepass.SendPermit
 	// cancels holds one function for each attempt; it is only filled if cancelDelay is 0.
 	cancels []context.CancelCauseFunc
+	// token is what has been taken from the limit of a cold leaf for the next attempt, nil if nothing has.
+	token *coldToken
 }
 
 // fanOutDeps holds what fan-outs share to choose leaves and send attempts.
@@ -109,6 +111,8 @@
 	// cancelDelay is how long attempts that are no longer needed may still run, so that their connections can be reused;
 	// 0 cancels them at once.
 	cancelDelay samphirepass.Millis
+	// tokenWait bounds the wait for this process's share of the limits of cold leaves.
+	tokenWait samphirepass.Millis
 	// endedCancelDelay replaces cancelDelay if the request's context has ended.
 	endedCancelDelay samphirepass.Millis
 	// congested is set while requests wait for admission: extra attempts would then displace first ones.
@@ -183,7 +187,8 @@
 	defer f.withdrawUnsent()
 	f.timer = time.NewTimer(time.Hour)
 	defer f.timer.Stop()
-	if !f.checkLimits() {
+	defer f.returnTokens()
+	if !f.checkLimits() || !f.takeTokens() {
 		f.lastErr = errLimited
 		return
 	}
--- a/leaf/limits.go
+++ b/leaf/limits.go
@@ -9,7 +9,7 @@
 	t := p.target(reg.Announcement)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.pauseLocked(now, reg.Incarnation) > 0 {
+	if t.pauseLocked(now, reg.Incarnation) > 0 || p.endedWaitLocked(t, reg.Incarnation) > 0 {
 		return false
 	}
 	return limit == 0 || t.limiter.Take(now, limit, p.shares.Senders(reg.Announcement))
@@ -19,10 +19,14 @@
 func (p *Pool) waitMs(reg Registration) samphirepass.Millis {
 	now := p.clock.Now()
 	limit := reg.LimitPerSecond(now)
+	key, cold := p.coldLimit(reg.Announcement)
 	t := p.target(reg.Announcement)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	wait := t.pauseLocked(now, reg.Incarnation)
+	wait := max(t.pauseLocked(now, reg.Incarnation), p.endedWaitLocked(t, reg.Incarnation))
+	if cold {
+		wait = max(wait, t.cold.waitLocked(now, key))
+	}
 	if limit > 0 {
 		wait = max(wait, t.limiter.Wait(now, limit, p.shares.Senders(reg.Announcement)))
 	}
@@ -64,19 +68,40 @@
 	return shortest
 }
 
-// reserveLeaf chooses one of the leaves for an attempt and takes the attempt from its limit. ok is false if none takes one now.
-func (f *fanOut) reserveLeaf(leaves []Registration) (reg Registration, ok bool) {
+// reserveLeaf chooses one of the leaves for an attempt and takes the attempt from its limits. ok is false if none takes one now.
+// key is the limit of a cold leaf from which it was taken, empty for a warm one.
+func (f *fanOut) reserveLeaf(leaves []Registration) (reg Registration, key samphirepass.LimitKey, ok bool) {
+	warm, cold := f.pool.splitCold(leaves)
+	spilled := len(cold) > 0 && f.allBusy(warm)
+	if spilled {
+		if reg, key, ok = f.reserveCold(cold); ok {
+			return reg, key, true
+		}
+	}
+	if reg, ok = f.reserveAny(warm); ok || spilled {
+		return reg, "", ok
+	}
+	return f.reserveCold(cold)
+}
+
+// reserveAny is reserveLeaf for leaves without limits of cold leaves.
+func (f *fanOut) reserveAny(leaves []Registration) (reg Registration, ok bool) {
 	for len(leaves) > 0 {
 		i := f.choose(leaves, f.expected)
 		if f.pool.reserve(leaves[i]) {
 			return leaves[i], true
 		}
-		rest := make([]Registration, 0, len(leaves)-1)
-		leaves = append(append(rest, leaves[:i]...), leaves[i+1:]...)
+		leaves = without(leaves, i)
 	}
 	return Registration{}, false
 }
 
+// without returns a copy of leaves without the one at index i.
+func without(leaves []Registration, i int) []Registration {
+	rest := make([]Registration, 0, len(leaves)-1)
+	return append(append(rest, leaves[:i]...), leaves[i+1:]...)
+}
+
 // checkLimits reports whether leaves of enough shards take a request now. If not, it sets retryAfter: a request that cannot be served
 // should not use up what the leaves still take.
 func (f *fanOut) checkLimits() bool {
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -47,11 +47,14 @@
 	// sampledAt is when recentLatencies last changed. Only one of several overlapping attempts counts, as a pause delays them all.
 	sampledAt samphirepass.Millis
 	// observedAt is when meanLatency last changed.
-	observedAt          samphirepass.Millis
-	meanLatency         samphirepass.Millis
-	meanNetworkLatency  samphirepass.Millis
-	load                float64
-	loadAt              samphirepass.Millis
+	observedAt         samphirepass.Millis
+	meanLatency        samphirepass.Millis
+	meanNetworkLatency samphirepass.Millis
+	load               float64
+	loadAt             samphirepass.Millis
+	// loadReported and pace are those of the reply with load.
+	loadReported        bool
+	pace                float64
 	consecutiveFailures int
 	failedAt            samphirepass.Millis
 	// failureRate and refusalRate are the shares of attempts that failed and that the leaf refused.
@@ -60,6 +63,7 @@
 	// pausedUntil is the time until which an incarnation of the leaf wants no requests of this entry.
 	pausedUntil       samphirepass.Millis
 	pausedIncarnation samphirepass.Incarnation
+	cold              coldTarget
 }
 
 // inFlightAttempt is an attempt in flight.
@@ -90,6 +94,9 @@
 	clock  samphirepass.Clock
 	shares Shares
 
+	// warmUps is nil where cold leaves have no limits.
+	warmUps *warmUps
+
 	mu      sync.RWMutex
 	targets map[samphirepass.Leaf]*target
 }
@@ -173,8 +180,9 @@
 	c := samphirepass.Candidate{
 		Leaf: reg.Leaf, SameDataCentre: reg.DataCentre == dataCentre, InFlight: t.inFlight, Slots: reg.Slots, MeanLatencyMs: t.meanLatency,
 		Load: t.load, LoadAgeMs: now - t.loadAt, SinceDiscoveryMs: now - reg.FirstSeenMs, ConsecutiveFailures: t.consecutiveFailures,
-		SinceFailureMs: now - t.failedAt, ColdMs: max(reg.ColdMs-(now-reg.LastSeenMs), 0),
+		SinceFailureMs: now - t.failedAt, ColdMs: reg.ColdLeftMs(now),
 	}
+	c.LoadReported, c.Pace = t.loadReported, t.pace
 	c.MedianLatencyMs = samphirepass.Millis(median(t.recentLatencies)) * latencyScale(expected)
 	c.FailureRate, c.RefusalRate = t.failureRate.Value(now), t.refusalRate.Value(now)
 	if t.observedAt > 0 {
@@ -211,7 +219,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.consecutiveFailures = 0
-	t.load, t.loadAt = r.Load, now
+	t.recordLoadLocked(now, r)
 	t.recordLatencyLocked(now, took, expected)
 	t.failureRate.Add(now, false)
 	t.refusalRate.Add(now, false)
@@ -236,11 +244,30 @@
 	t.meanLatency += (took - t.meanLatency) * latencyEWMAWeight
 }
 
-// recordShed records that the leaf refused an attempt for lack of capacity.
-func (t *target) recordShed(now samphirepass.Millis) {
+// recordLoadLocked records the load in an answer.
+func (t *target) recordLoadLocked(now samphirepass.Millis, r samphirepass.Reply) {
+	t.load, t.loadAt, t.loadReported, t.pace = r.Load, now, r.LoadReported, r.Pace
+}
+
+// recordFailedLoad records the load that a leaf reported in the answer to a failed attempt, if it did.
+func (t *target) recordFailedLoad(now samphirepass.Millis, r samphirepass.Reply) {
+	if !r.LoadReported {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.recordLoadLocked(now, r)
+}
+
+// recordShed records that the leaf refused an attempt for lack of capacity, and the load that it reported.
+func (t *target) recordShed(now samphirepass.Millis, r samphirepass.Reply) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.load, t.loadAt = max(t.load, loadAfterShed), now
+	if r.LoadReported {
+		t.recordLoadLocked(now, r)
+	} else {
+		t.load, t.loadAt, t.loadReported = max(t.load, loadAfterShed), now, false
+	}
 	t.refusalRate.Add(now, true)
 }
 
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -72,14 +72,16 @@
 	took := now - att.startedAt
 	kind := samphirepass.FailureKind("")
 	if failure := (*samphirepass.AttemptError)(nil); errors.As(err, &failure) {
-		kind = failure.Kind
+		kind, reply = failure.Kind, failure.Reply
+		t.recordFailedLoad(now, reply)
 	}
 	switch {
 	case err == nil:
 		t.recordSuccess(now, took, att.expected, reply)
 	case kind == samphirepass.FailureShed:
-		t.recordShed(now)
+		t.recordShed(now, reply)
 	case kind == samphirepass.FailureGone:
+	case errors.Is(err, errTurnedCold):
 	case errors.Is(err, errWithdrawn):
 		t.recordMinLatency(now, took, att.expected)
 	case errors.Is(context.Cause(ctx), samphirepass.ErrSuperseded):
@@ -112,7 +114,7 @@
 		reply, err = s.exchange(ctx, t, pc, to, a)
 	}
 	reply.WaitedMs = sent - began
-	if errors.Is(err, errExpired) || errors.Is(err, errWithdrawn) {
+	if errors.Is(err, errExpired) || errors.Is(err, errWithdrawn) || errors.Is(err, errTurnedCold) {
 		return reply, err
 	}
 	if err != nil {
@@ -123,6 +125,7 @@
 		if hasCrashed(ctx, pc, to, err) {
 			err = attemptError(samphirepass.FailureCrashed, err)
 		}
+		s.pool.noteEnd(to, err)
 		return reply, err
 	}
 	pc.answeredAtMs = s.clock.Now()
@@ -139,6 +142,19 @@
 	if err := pc.connect(ctx, to.Address); err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("send to %s: %w", to.Leaf, err))
 	}
+	ownLimit, err := s.pool.confirmColdLimit(ctx, to, a.ColdLimit)
+	if err != nil {
+		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, err)
+	}
+	reply, err := s.exchangeCounted(ctx, t, pc, to, a)
+	if ownLimit != "" && causedNoRequest(err) {
+		s.pool.returnToken(ownLimit)
+	}
+	return reply, err
+}
+
+// exchangeCounted is exchange after the attempt has been counted in the leaf's limit.
+func (s *Sender) exchangeCounted(ctx context.Context, t *target, pc *pooledConn, to samphirepass.Announcement, a samphirepass.Attempt) (samphirepass.Reply, error) {
 	left := a.ExpiresAtMs - s.clock.Now()
 	// A leaf that does not state its own time seems to spend all of it on the network, and an overloaded one must still get some.
 	remaining := max(left-t.currentNetworkLatency(), left*minToldDeadlineFraction)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -40,6 +40,7 @@
 	extra    *prometheus.CounterVec
 	runs     *prometheus.CounterVec
 	stages   *prometheus.HistogramVec
+	cold     *prometheus.CounterVec
 
 	// totalAttempts and totalExtra are the sums of attempts and extra over all services.
 	totalAttempts, totalExtra atomic.Int64
@@ -73,7 +74,10 @@
 		Name: "samphirepass_collect_stage_seconds", Help: "Time of collected requests by stage.",
 		Buckets: []float64{.001, .002, .005, .01, .02, .03, .045, .06, .1, .15, .25, .5, 1},
 	}, []string{"stage"})
-	m.registry.MustRegister(m.queries, m.requests, m.attempts, m.extra, m.runs, m.stages)
+	m.cold = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "samphirepass_cold_leaf_requests_total", Help: "Requests to cold leaves by what their shared limits decided: granted, refused, or returned as not sent.",
+	}, []string{"outcome"})
+	m.registry.MustRegister(m.queries, m.requests, m.attempts, m.extra, m.runs, m.stages, m.cold)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -111,6 +115,9 @@
 	m.totalExtra.Add(int64(extra))
 }
 
+// ColdLeafRequest records the outcome for a request to a cold leaf.
+func (m *Metrics) ColdLeafRequest(outcome string) { m.cold.WithLabelValues(outcome).Inc() }
+
 // LeafRequests returns the number of requests to leaves of all services, and the number of hedges and retries among them.
 func (m *Metrics) LeafRequests() (all, extra int64) {
 	return m.totalAttempts.Load(), m.totalExtra.Load()
--- a/policy.go
+++ b/policy.go
@@ -38,6 +38,9 @@
 	OpenConnections int
 	// MaxConnections is the number of connections that this entry may open to the leaf.
 	MaxConnections int
+	// LoadReported is set if the leaf itself reported Load, with Pace, which is 1 as usual, above 1 if work takes longer, and 0 if not stated.
+	LoadReported bool
+	Pace         float64
 }
 
 // Chooser picks one of several leaves that hold the same shard and is safe for concurrent use.
