--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -21,7 +21,7 @@
 	ownDelayShardShare = 0.25
 )
 
-var errLimited = eris.New("no leaf takes a request now: each has reached the limit that it named, or asked for a pause")
+var errLimited = eris.New("no leaf takes a request now: each has reached its limit, or asked for a pause")
 
 // attemptResult is the outcome of one attempt.
 type attemptResult struct {
