leaf: Ask of cold leaves in one atomic read while there are none

With a limiter set, each request looked up the state of each of its leaves, and Attempt had grown past what a goroutine gets by value, one allocation for each shard. The registry keeps a time after which no leaf is cold, and the permit holds the limit that an attempt was counted in. The coldness no longer takes 0 as a time: on a clock below it, as in synctest, every leaf would have counted as cold.

--- a/attempt.go
+++ b/attempt.go
@@ -25,8 +25,6 @@
 	Forwarded *ForwardedRequest
 	// AtMostOnce is set for a request that must not run twice.
 	AtMostOnce bool
-	// ColdLimit is the limit of a cold leaf that the attempt has been counted in, empty if there is none.
-	ColdLimit LimitKey
 }
 
 // Reply is a leaf's answer to one attempt, which the protocol has checked against the attempt.
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -22,10 +22,7 @@
 	if f.sendsEnded || len(leaves) == 0 || s.countedAttempts >= f.fanOutOptions.maxAttempts || len(s.tried) >= f.fanOutOptions.maxAttempts+maxFreeRetries {
 		return false
 	}
-	reg, key, ok := f.useToken(shard)
-	if !ok {
-		reg, key, ok = f.reserveLeaf(leaves)
-	}
+	reg, key, ok := f.takeLeaf(shard, leaves)
 	if !ok {
 		return false
 	}
@@ -45,7 +42,7 @@
 		s.cancels = append(s.cancels, cancel)
 	}
 	a := f.newAttempt(shard)
-	a.Permit, a.ColdLimit = &samphirepass.SendPermit{}, key
+	a.Permit = &samphirepass.SendPermit{ColdLimit: key}
 	s.permits = append(s.permits, a.Permit)
 	go f.sendAttempt(ctx, shard, reg, a)
 	return true
@@ -105,8 +102,8 @@
 		f.results <- r
 	}()
 	r.reply, r.err = f.sender.Send(ctx, reg.Announcement, a)
-	if a.ColdLimit != "" && causedNoRequest(r.err) {
-		f.pool.returnToken(a.ColdLimit)
+	if key := a.Permit.ColdLimit; key != "" && causedNoRequest(r.err) {
+		f.pool.returnToken(key)
 	}
 	if r.err == nil && f.decode != nil {
 		r.err = f.decode(&r)
--- a/leaf/coldness.go
+++ b/leaf/coldness.go
@@ -1,6 +1,10 @@
 package leaf
 
-import "samphirepass"
+import (
+	"math"
+
+	"samphirepass"
+)
 
 const (
 	// coldShorterMs is how much earlier the end of a leaf's warm-up must be than other processes believe, to be sent to them. Delays of
@@ -14,13 +18,21 @@
 	coldRenewMs = HeartbeatTimeoutMs
 	// coldLingerMs is how long the limit of a leaf stays in force after its warm-up, for gateways that learn of the end later.
 	coldLingerMs samphirepass.Millis = 3000
+	// noneCold is the value of Registry.latestCold while no leaf is cold.
+	noneCold = math.MinInt64
 	// warmUpBurst is the number of requests that a cold leaf may get at once, and 1 if it tolerates fewer in a second.
 	warmUpBurst = 2
 )
 
+// never is a time before all others: the zero of a clock is arbitrary.
+var never = samphirepass.Millis(math.Inf(-1))
+
+// warm is the coldness of a leaf that has not been cold.
+var warm = coldness{until: never, publishedUntil: never, limitedUntil: never}
+
 // coldness is the warm-up of one incarnation of a leaf, in times of this process's clock.
 type coldness struct {
-	// until is its end as the leaf stated it last. It is in the past for a warm leaf.
+	// until is its end as the leaf stated it last, never if it stated that it is warm.
 	until samphirepass.Millis
 	// publishedUntil is the value of until that was last sent to other processes.
 	publishedUntil samphirepass.Millis
@@ -30,7 +42,7 @@
 
 // next returns the coldness after a newer announcement with the given remaining time, and whether to send it to other processes.
 func (c coldness) next(now, left samphirepass.Millis) (coldness, bool) {
-	until := samphirepass.Millis(0)
+	until := never
 	if left > 0 {
 		until = now + left
 	}
@@ -91,10 +103,26 @@
 func (r *Registry) coldUntil(name samphirepass.Leaf) (samphirepass.Incarnation, samphirepass.Millis) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	reg := r.leaves[name]
+	reg, ok := r.leaves[name]
+	if !ok {
+		return 0, never
+	}
 	return reg.Incarnation, reg.cold.until
 }
 
+// anyCold reports whether a leaf may be cold at the time that newsAt returns. It is called for each leaf of each request.
+func (r *Registry) anyCold(newsAt func() samphirepass.Millis) bool {
+	latest := r.latestCold.Load()
+	if latest == noneCold {
+		return false
+	}
+	if samphirepass.Millis(latest) > newsAt() {
+		return true
+	}
+	// The swap fails if a leaf has turned cold meanwhile.
+	return !r.latestCold.CompareAndSwap(latest, noneCold)
+}
+
 // WarmUpLimits returns the limits of the leaves that are cold or were so until a moment ago, for the leader of the log, which leases them.
 func (r *Registry) WarmUpLimits(warmUps map[samphirepass.Service]samphirepass.WarmUp) map[samphirepass.LimitKey]samphirepass.RateLimit {
 	limits := map[samphirepass.LimitKey]samphirepass.RateLimit{}
--- a/leaf/coldness_test.go
+++ b/leaf/coldness_test.go
@@ -403,3 +403,21 @@
 		})
 	}
 }
+
+// TestColdnessOnAnyClock guards against a leaf that counts as cold, or never does, on a clock whose times are below 0.
+func TestColdnessOnAnyClock(t *testing.T) {
+	for _, now := range []samphirepass.Millis{-1e12, -5000, 0, 1e12} {
+		clock := &manualClock{now: now}
+		r := leaf.NewRegistry(clock)
+		version := r.Version()
+		for sequence, left := range []samphirepass.Millis{0, 9000, 0, 9000} {
+			_, changed := r.Apply(coldAnnouncement(1, uint64(sequence)+1, left), 0, true)
+			require.True(t, changed)
+			require.Greater(t, r.Version(), version)
+			version = r.Version()
+			require.Equal(t, left, coldLeft(r, clock.now))
+			known, _ := r.Newest("a")
+			require.Equal(t, left, *known.ColdLeftMs)
+		}
+	}
+}
--- a/leaf/registry.go
+++ b/leaf/registry.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -72,6 +73,8 @@
 	clock samphirepass.Clock
 	// OnColdness is called with each change of a leaf's coldness that is sent to other processes. It may be nil, and is set before use.
 	OnColdness func(ColdnessChange)
+	// latestCold is a time after which no leaf is cold, in whole milliseconds, and noneCold if none is now.
+	latestCold atomic.Int64
 
 	mu     sync.RWMutex
 	leaves map[samphirepass.Leaf]Registration
@@ -89,10 +92,12 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry(clock samphirepass.Clock) *Registry {
-	return &Registry{
+	r := &Registry{
 		clock: clock, leaves: map[samphirepass.Leaf]Registration{}, byAddress: map[string]samphirepass.Leaf{},
 		silentReports: map[string]map[samphirepass.Leaf]bool{},
 	}
+	r.latestCold.Store(noneCold)
+	return r
 }
 
 // hashContent returns a hash of all of an announcement but Sequence and ColdMs.
@@ -142,7 +147,7 @@
 	if age > retention(a.State) || (ok && !a.Newer(known.Announcement)) || !r.claimAddressLocked(a) {
 		return false, false, nil
 	}
-	reg := Registration{Announcement: a, LastSeenMs: now - age, FirstSeenMs: now, Direct: direct}
+	reg := Registration{Announcement: a, LastSeenMs: now - age, FirstSeenMs: now, Direct: direct, cold: warm}
 	if ok && known.Incarnation == a.Incarnation {
 		reg.FirstSeenMs = known.FirstSeenMs
 		reg.LastSeenMs = max(reg.LastSeenMs, known.LastSeenMs)
@@ -161,6 +166,9 @@
 		reg.changedVersion, reg.cold.publishedUntil = r.version, reg.cold.until
 	}
 	r.leaves[a.Leaf] = reg
+	if reg.cold.until > now {
+		r.latestCold.Store(max(r.latestCold.Load(), int64(reg.cold.until)+1))
+	}
 	if coldChanged {
 		coldChange = &ColdnessChange{Announcement: a, AgeMs: age, Direct: direct, KnownMs: knownLeft, LeftMs: reg.ColdLeftMs(now)}
 	}
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -142,7 +142,7 @@
 	if err := pc.connect(ctx, to.Address); err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("send to %s: %w", to.Leaf, err))
 	}
-	ownLimit, err := s.pool.confirmColdLimit(ctx, to, a.ColdLimit)
+	ownLimit, err := s.pool.confirmColdLimit(ctx, to, a.Permit)
 	if err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, err)
 	}
--- a/leaf/tokens.go
+++ b/leaf/tokens.go
@@ -113,11 +113,11 @@
 
 // coldLimit returns the limit of a leaf if the leaf is cold and has one.
 func (p *Pool) coldLimit(a samphirepass.Announcement) (samphirepass.LimitKey, bool) {
-	if p.warmUps == nil || p.warmUps.PerSecond(a.Service) <= 0 {
+	if p.warmUps == nil || !p.warmUps.Registry.anyCold(p.warmUps.newsAt) || p.warmUps.PerSecond(a.Service) <= 0 {
 		return "", false
 	}
 	incarnation, until := p.warmUps.Registry.coldUntil(a.Leaf)
-	if until == 0 || until <= p.warmUps.newsAt() {
+	if until <= p.warmUps.newsAt() {
 		return "", false
 	}
 	return samphirepass.WarmUpLimitKey(a.Leaf, incarnation), true
@@ -125,7 +125,7 @@
 
 // splitCold divides leaves into those without and with the limit of a cold leaf.
 func (p *Pool) splitCold(leaves []Registration) (warm, cold []Registration) {
-	if p.warmUps == nil {
+	if p.warmUps == nil || !p.warmUps.Registry.anyCold(p.warmUps.newsAt) {
 		return leaves, nil
 	}
 	for _, reg := range leaves {
@@ -194,14 +194,17 @@
 }
 
 // confirmColdLimit counts an attempt that is about to be written in the limit of a leaf that has turned cold since the attempt was made, and
-// returns that limit, empty if nothing was counted. counted is the limit that the attempt has been counted in. Attempts may wait for a
-// connection when a leaf restarts, and all of them would reach it at once.
-func (p *Pool) confirmColdLimit(ctx context.Context, to samphirepass.Announcement, counted samphirepass.LimitKey) (samphirepass.LimitKey, error) {
+// returns that limit, empty if nothing was counted. permit is that of the attempt. Attempts may wait for a connection when a leaf restarts,
+// and all of them would reach it at once.
+func (p *Pool) confirmColdLimit(ctx context.Context, to samphirepass.Announcement, permit *samphirepass.SendPermit) (samphirepass.LimitKey, error) {
 	key, cold := p.coldLimit(to)
 	switch {
-	case !cold || key == counted:
+	case !cold:
+		return "", nil
+	case permit == nil || permit.ColdLimit == "":
+	case permit.ColdLimit == key:
 		return "", nil
-	case counted != "":
+	default:
 		return "", errTurnedCold
 	}
 	if verdict := p.warmUps.Limiter.Take(ctx, key, 0); !verdict.Granted {
@@ -342,6 +345,14 @@
 	return token.reg, token.key, true
 }
 
+// takeLeaf takes an attempt on a shard from the limits of the leaf whose token the shard holds, or of one of leaves.
+func (f *fanOut) takeLeaf(shard int, leaves []Registration) (Registration, samphirepass.LimitKey, bool) {
+	if reg, key, ok := f.useToken(shard); ok {
+		return reg, key, true
+	}
+	return f.reserveLeaf(leaves)
+}
+
 // returnToken gives back the token that a shard holds, if any.
 func (f *fanOut) returnToken(shard int) {
 	if s := &f.shards[shard]; s.token != nil {
--- a/permit.go
+++ b/permit.go
@@ -5,6 +5,9 @@
 // SendPermit decides whether an attempt is sent or withdrawn: whichever comes first excludes the other. Its zero value permits the
 // attempt, and it is safe for concurrent use.
 type SendPermit struct {
+	// ColdLimit is the limit of a cold leaf that the attempt has been counted in, empty if there is none. It is set before the permit is used.
+	ColdLimit LimitKey
+
 	mu sync.Mutex
 	// used is set once the attempt may have been sent, withdrawn once it never will be.
 	used, withdrawn bool
