--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -109,9 +109,29 @@
 		Quotas:    g.newLimiter(cfg.Quota != nil),
 		Deliverer: g.collectorClient, Ending: g.ending, Quarantine: quarantine, OnSuspicion: g.follower.ReportSuspicion, Metrics: g.metrics, Clock: clock, Log: log.For("gateway"),
 	})
+	if cfg.WarmUp != nil {
+		g.limitWarmUps(g.newLimiter(true))
+	}
 	return g, g.listen()
 }
 
+// limitWarmUps keeps the requests to cold leaves within limits that all gateways share.
+func (g *Gateway) limitWarmUps(limiter samphirepass.FleetLimiter) {
+	log := g.log.For("warm-up")
+	g.registry.OnColdness = func(c leaf.ColdnessChange) {
+		log.Event("Leaf changed its warm-up.", "leaf", c.Announcement.Leaf, "service", c.Announcement.Service, "incarnation", c.Announcement.Incarnation,
+			"sequence", c.Announcement.Sequence, "age-ms", int(c.AgeMs), "known-ms", int(c.KnownMs), "left-ms", int(c.LeftMs))
+	}
+	g.pool.LimitWarmUps(leaf.WarmUpOptions{
+		Registry: g.registry, Limiter: limiter, SinceContact: g.follower.SinceLeaderContact, Logf: log.Infof,
+		PerSecond: func(s samphirepass.Service) float64 {
+			routing, _ := g.dispatcher.Routing()
+			return routing.WarmUps[s].PerSecond
+		},
+		OnOutcome: func(o leaf.TokenOutcome) { g.metrics.ColdLeafRequest(string(o)) },
+	})
+}
+
 func (g *Gateway) listen() error {
 	var err error
 	handler := &platform.ClientHandler{Dispatcher: g.dispatcher, Stopping: g.stopping.Load, Log: g.log.For("front")}
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -32,13 +32,16 @@
 
 // serveLimits makes a registrar with a disk issue tokens of the limits that the settings declare.
 func (r *Registrar) serveLimits() {
-	if r.cfg.DataFolder == "" || r.cfg.Quota == nil {
+	if r.cfg.DataFolder == "" || (r.cfg.Quota == nil && r.cfg.WarmUp == nil) {
 		return
 	}
 	r.metrics.EnableLimits()
-	q := r.cfg.Quota
-	limits := samphirepass.FleetLimitSources{
-		&quota.AccountLimits{Applied: r.AppliedRouting, Reader: platform.RoutingReader{}, WindowMs: q.WindowMs, Overage: q.Overage, Slack: q.Slack},
+	limits := &quota.RoutingLimits{Applied: r.AppliedRouting, Reader: platform.RoutingReader{}}
+	if q := r.cfg.Quota; q != nil {
+		limits.Quotas = &quota.QuotaBounds{WindowMs: q.WindowMs, Overage: q.Overage, Slack: q.Slack}
+	}
+	if w := r.cfg.WarmUp; w != nil {
+		limits.WarmUps = &quota.WarmUpBounds{Factor: w.Factor, Slack: w.Slack, Limit: r.registry.WarmUpLimit}
 	}
 	quota.NewServer(quota.ServerOptions{
 		Address: r.cfg.PeerAddress(), Voters: r, Limits: limits, Clock: samphirepass.SystemClock{}, Metrics: r.metrics, Log: r.log.For("quota"),
--- a/quota/issuer.go
+++ b/quota/issuer.go
@@ -21,6 +21,8 @@
 	minCapacity = 4.0
 	// otherIssuerRetryMs is the time for which a gateway need not ask an issuer again that issues nothing for a key.
 	otherIssuerRetryMs samphirepass.Millis = 2000
+	// ttlDivisor divides a window into the time for which tokens may be kept: a window may hold what was issued that long before it.
+	ttlDivisor = 5
 	// sweepIntervalMs is the interval between searches for buckets that are full.
 	sweepIntervalMs samphirepass.Millis = 5000
 )
@@ -40,6 +42,8 @@
 	Owner string
 	// Unlimited is set if requests need no tokens for now.
 	Unlimited bool
+	// TTLMs is how long granted tokens may be kept.
+	TTLMs samphirepass.Millis
 }
 
 // Issuer issues tokens from its part of each limit. It is not safe for concurrent use. Its times are those of one samphirepass.BootClock.
@@ -85,7 +89,7 @@
 	granted := min(want, int(b.tokens+tokenRounding))
 	if granted > 0 {
 		b.tokens = max(b.tokens-float64(granted), 0)
-		return Issue{Granted: granted}
+		return Issue{Granted: granted, TTLMs: min(limit.WindowMs/ttlDivisor, tokenTTLMs)}
 	}
 	if b.rate <= 0 {
 		return Issue{RetryMs: otherIssuerRetryMs}
--- a/quota/issuer_test.go
+++ b/quota/issuer_test.go
@@ -297,7 +297,7 @@
 	w.Fail(400, "b")
 	candidates, _ = w.Candidates(800, account, issuers)
 	require.Equal(t, "a", candidates[0].Address, "an issuer that failed is asked last")
-	w.Apply(800, 790, account, "a", quota.Issue{Granted: 2})
+	w.Apply(800, 790, account, "a", quota.Issue{Granted: 2, TTLMs: 1000})
 	require.True(t, w.Take(1700, account))
 	require.False(t, w.Take(1800, account), "tokens end a second after they were asked for")
 }
@@ -305,7 +305,7 @@
 // BenchmarkTake measures a request that finds a token.
 func BenchmarkTake(b *testing.B) {
 	w := quota.NewWallet("vm", "dc")
-	w.Apply(0, 0, account, "a", quota.Issue{Granted: 1})
+	w.Apply(0, 0, account, "a", quota.Issue{Granted: 1, TTLMs: 1000})
 	for range b.N {
 		w.Count(1, account)
 		w.Take(1, account)
--- a/quota/wallet.go
+++ b/quota/wallet.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// tokenTTLMs is how long a gateway keeps a token: a window may hold what was issued that long before it.
+	// tokenTTLMs is the longest time that a gateway keeps a token.
 	tokenTTLMs samphirepass.Millis = 1000
 	// demandMs is the time constant over which the rate of requests is averaged.
 	demandMs samphirepass.Millis = 1000
@@ -52,8 +52,10 @@
 
 // pocket is what a gateway knows of one limit.
 type pocket struct {
-	tokens         int
-	expiresAt      samphirepass.Millis
+	tokens    int
+	expiresAt samphirepass.Millis
+	// ttlMs is how long tokens may be kept.
+	ttlMs          samphirepass.Millis
 	unlimitedUntil samphirepass.Millis
 	// demand is the rate of requests per second as of usedAt.
 	demand float64
@@ -96,7 +98,7 @@
 	p := w.pocket(key)
 	if now >= p.expiresAt {
 		p.tokens = 0
-		p.expiresAt = now + tokenTTLMs
+		p.expiresAt = now + p.ttlMs
 	}
 	p.tokens++
 }
@@ -156,7 +158,8 @@
 		p.tokens = 0
 	}
 	// Tokens of several answers expire with the earliest of them.
-	expires := sentAt + tokenTTLMs
+	expires := sentAt + issue.TTLMs
+	p.ttlMs = issue.TTLMs
 	if p.tokens > 0 {
 		expires = min(expires, p.expiresAt)
 	}
