--- a/quota/issuer_test.go
+++ b/quota/issuer_test.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	windowMs samphirepass.Millis = 5000
-	account                      = samphirepass.LimitKey("account/a")
+	windowMs  samphirepass.Millis = 5000
+	account                       = samphirepass.LimitKey("account/a")
+	noContact samphirepass.Millis = 1e9
 )
 
 func limitOf(perSecond, burst float64) samphirepass.FleetLimit {
@@ -45,9 +46,8 @@
 	issuer     *quota.Issuer
 	membership *quota.Membership
 	down       bool
-	// cutAt is when it lost contact with the leader, if cut is set; it then keeps the voters that it knew.
+	// cut is set while it has no contact with the leader; it then keeps the voters that it knew.
 	cut   bool
-	cutAt samphirepass.Millis
 	known []string
 }
 
@@ -84,14 +84,15 @@
 	}
 	contactAge := samphirepass.Millis(0)
 	if i.cut {
-		contactAge = f.now - i.cutAt
+		// A member that has lost its leader does not know the age of its last contact.
+		contactAge = noContact
 	} else {
 		i.known = slices.Clone(f.voters)
 	}
-	if i.membership.Update(f.now, i.known) {
+	if i.membership.Update(f.now, i.known, contactAge) {
 		i.issuer.Reset(f.now)
 	}
-	part, ok := i.membership.Part(contactAge)
+	part, ok := i.membership.Part(f.now)
 	if !ok {
 		return quota.Issue{}, false
 	}
@@ -182,9 +183,7 @@
 	case 1:
 		f.restart(i)
 	case 2:
-		if i.cut = !i.cut; i.cut {
-			i.cutAt = f.now
-		}
+		i.cut = !i.cut
 	default:
 		if isVoter && len(f.voters) > 2 {
 			f.voters = slices.DeleteFunc(slices.Clone(f.voters), func(a string) bool { return a == i.address })
@@ -194,6 +193,32 @@
 	}
 }
 
+// TestProofIssuersOutliveTheLeader guards against refusals while a leader is elected, and against an issuer that was cut off for so long that
+// others may issue its part.
+func TestProofIssuersOutliveTheLeader(t *testing.T) {
+	voters := []string{"a", "b", "c"}
+	m := quota.NewMembership("a")
+	m.Update(0, voters, noContact)
+	_, ok := m.Part(0)
+	require.False(t, ok, "nothing is issued before the first contact: this process may have been removed")
+	m.Update(1000, voters, 50)
+	m.Update(2000, voters, noContact)
+	part, ok := m.Part(12_000)
+	require.True(t, ok)
+	require.Equal(t, voters, part.Issuers)
+	_, ok = m.Part(13_000)
+	require.False(t, ok)
+
+	other := quota.NewMembership("b")
+	other.Update(1000, voters, 0)
+	other.Update(15_900, []string{"b", "c"}, 0)
+	part, _ = other.Part(15_900)
+	require.Len(t, part.Issuers, 3, "the part of a removed issuer is kept until it has surely stopped")
+	other.Update(16_100, []string{"b", "c"}, 0)
+	part, _ = other.Part(16_100)
+	require.Len(t, part.Issuers, 2)
+}
+
 // TestProofKillOfAllKeepsQuota guards against buckets that are full again after all issuers were killed at once and started again.
 func TestProofKillOfAllKeepsQuota(t *testing.T) {
 	for name, limit := range map[string]samphirepass.FleetLimit{"large": limitOf(43, 43), "small": limitOf(1.5, 1.5)} {
--- a/quota/membership.go
+++ b/quota/membership.go
@@ -23,6 +23,9 @@
 	seenAt map[string]samphirepass.Millis
 	// joined is set while this process is a voter, known once the first voters have been seen.
 	joined, known bool
+	// contactAt is when this process last had contact with a leader, if contacted is set.
+	contactAt samphirepass.Millis
+	contacted bool
 }
 
 // NewMembership returns the membership of a process with the given peer address.
@@ -30,9 +33,12 @@
 	return &Membership{self: self, seenAt: map[string]samphirepass.Millis{}}
 }
 
-// Update records the voters of the log as this process knows them, and reports whether this process has just joined them. The first voters
-// that it sees after its start are those of its disk.
-func (m *Membership) Update(now samphirepass.Millis, voters []string) (justJoined bool) {
+// Update records the voters of the log as this process knows them and the time since its last contact with a leader, which may be any while it
+// knows none, and reports whether this process has just joined the voters. The first voters that it sees after its start are those of its disk.
+func (m *Membership) Update(now samphirepass.Millis, voters []string, sinceLeaderContact samphirepass.Millis) (justJoined bool) {
+	if sinceLeaderContact < maxContactAgeMs {
+		m.contactAt, m.contacted = max(m.contactAt, now-sinceLeaderContact), true
+	}
 	if len(voters) == 0 {
 		return false
 	}
@@ -47,8 +53,8 @@
 }
 
 // Part returns this issuer's part, and false if it must not issue: it is no voter, or has not heard from a leader for too long.
-func (m *Membership) Part(sinceLeaderContact samphirepass.Millis) (Part, bool) {
-	if !m.joined || sinceLeaderContact > maxContactAgeMs {
+func (m *Membership) Part(now samphirepass.Millis) (Part, bool) {
+	if !m.joined || !m.contacted || now-m.contactAt > maxContactAgeMs {
 		return Part{}, false
 	}
 	return Part{Self: m.self, Issuers: slices.Sorted(maps.Keys(m.seenAt))}, true
--- a/quota/server.go
+++ b/quota/server.go
@@ -55,10 +55,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.opts.Clock.Boot()
-	if s.membership.Update(now, voters) {
+	if s.membership.Update(now, voters, contactAge) {
 		s.issuer.Reset(now)
 	}
-	part, ok := s.membership.Part(contactAge)
+	part, ok := s.membership.Part(now)
 	s.logState(ok, len(part.Issuers), contactAge)
 	if !ok || !known {
 		return issueReply{Issues: ok, Known: known}, nil
