ledger, control: Store evacuations of data centres in the log

Operators had no way to keep requests from a data centre. The log now holds the last order for each data centre, and the set of evacuated ones with the index of its last change. A call reads the last order from the leader and names its index in the command, so a copy that is delayed beyond a later order has no effect; also an order that changes nothing moves that index on.

A member asks the leader what is committed after its start, and after a second without contact, before it counts as current: it does not know otherwise whether an acknowledged order is missing.

--- a/control/dynamic.go
+++ b/control/dynamic.go
@@ -161,6 +161,10 @@
 	peer.HandleCall(h, kindLeave, func(context.Context, leaveRequest) (leaveReply, error) { return leaveReply{}, notLeader })
 	peer.HandleCall(h, kindPutRouting, func(context.Context, putRoutingRequest) (putRoutingReply, error) { return putRoutingReply{}, notLeader })
 	peer.HandleCall(h, kindGetRouting, func(context.Context, getRoutingRequest) (getRoutingReply, error) { return getRoutingReply{}, notLeader })
+	peer.HandleCall(h, kindSetEvacuation, func(context.Context, setEvacuationRequest) (setEvacuationReply, error) {
+		return setEvacuationReply{}, notLeader
+	})
+	peer.HandleCall(h, kindReadState, func(context.Context, readStateRequest) (readStateReply, error) { return readStateReply{}, notLeader })
 }
 
 // SetMembers replaces the members to which the client sends requests. The next request goes to leader if it is given,
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -32,6 +32,8 @@
 	peer.HandleCall(h, kindLeave, n.handleLeave)
 	peer.HandleCall(h, kindPutRouting, n.handlePutRouting)
 	peer.HandleCall(h, kindGetRouting, n.handleGetRouting)
+	peer.HandleCall(h, kindSetEvacuation, n.handleSetEvacuation)
+	peer.HandleCall(h, kindReadState, n.handleReadState)
 	peer.HandleCall(h, kindStatus, func(ctx context.Context, _ statusRequest) (Status, error) { return n.Status(ctx) })
 }
 
--- a/control/messages.go
+++ b/control/messages.go
@@ -20,6 +20,9 @@
 
 	kindPutRouting = "put-routing"
 	kindGetRouting = "get-routing"
+
+	kindSetEvacuation = "set-evacuation"
+	kindReadState     = "read-state"
 )
 
 // diskState is the most advanced state in which a member has seen the disk of another one.
@@ -65,6 +68,28 @@
 	Document samphirepass.RoutingDocument
 }
 
+type setEvacuationRequest struct {
+	Order ledger.EvacuationOrder
+}
+
+type setEvacuationReply struct {
+	Evacuations samphirepass.Evacuations
+}
+
+// readStateRequest asks for what the leader has applied.
+type readStateRequest struct {
+	// DataCentre is that of which to return the last evacuation order.
+	DataCentre samphirepass.DataCentre
+}
+
+// readStateReply is confirmed by a majority after the request arrived.
+type readStateReply struct {
+	RoutingVersion      samphirepass.RoutingVersion
+	EvacuationsRevision samphirepass.Revision
+	// OrderedAt is the index of the last evacuation order for the data centre of the request.
+	OrderedAt samphirepass.Revision
+}
+
 // SyncRequest asks for the configuration after AppliedRevision, which it also reports as in force on the entry.
 type SyncRequest struct {
 	VM         samphirepass.VM
--- a/control/node.go
+++ b/control/node.go
@@ -102,6 +102,10 @@
 	// leaderAge is the time since leader, the current leader, was last heard from; leader is zero if none is known.
 	leaderAge samphirepass.Millis
 	leader    quorum.Member
+	// caughtUp is set once this member has applied all that was committed before it started. currentAt is when it last lacked nothing that
+	// was committed.
+	caughtUp  bool
+	currentAt samphirepass.Millis
 
 	// seatMu serializes ensureSeat, since seats change one at a time.
 	seatMu sync.Mutex
@@ -144,6 +148,9 @@
 		return fmt.Errorf("join control members: %w", err)
 	}
 	go n.sendHellos(ctx)
+	if n.dynamicMembership() {
+		go n.watchCurrent(ctx)
+	}
 	err = l.run(ctx)
 	close(n.stopped)
 	// Nothing may write to the data folder after Serve has returned.
--- a/evacuation.go
+++ b/evacuation.go
@@ -10,8 +10,13 @@
 	DataCentres []DataCentre
 }
 
-// EvacuationReport tells an operator what an order does not cover.
+// FieldDataCentre is the field that refusals of an unknown data centre name.
+const FieldDataCentre = "data-centre"
+
+// EvacuationReport tells an operator what is evacuated and what that does not cover.
 type EvacuationReport struct {
+	// Evacuations are those in force with the order.
+	Evacuations Evacuations
 	// Uncovered are the services that have no leaf outside the evacuated data centres, sorted.
 	Uncovered []Service
 }
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -16,7 +16,8 @@
 	Seat          *SeatChange          `codec:",omitempty"`
 	FinishForming *FinishForming       `codec:",omitempty"`
 	// Routing replaces the routing document if its version is higher.
-	Routing *samphirepass.RoutingDocument `codec:",omitempty"`
+	Routing    *samphirepass.RoutingDocument `codec:",omitempty"`
+	Evacuation *EvacuationOrder              `codec:",omitempty"`
 }
 
 // Claim requests the exclusive right to send a run to a leaf.
@@ -53,7 +54,7 @@
 	Release bool
 }
 
-// FinishForming ends the forming phase of a new log, in which changes, claims and routing documents are refused.
+// FinishForming ends the forming phase of a new log, in which changes, claims, routing documents and evacuations are refused.
 type FinishForming struct {
 	// SeatCount is the number of entry VMs that share the leaves' connections.
 	SeatCount int
@@ -71,7 +72,7 @@
 type Result struct {
 	Change *samphirepass.ChangeResult `codec:",omitempty"`
 	Claim  *ClaimResult               `codec:",omitempty"`
-	// Code is the reason why an outcome, a seat change or a routing document was refused, or empty if it was not.
+	// Code is the reason why an outcome, a seat change, a routing document or an evacuation was refused, or empty if it was not.
 	Code samphirepass.Code `codec:",omitempty"`
 }
 
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -50,6 +50,10 @@
 	ReleasedBy map[samphirepass.VM]string
 	// Routing is the routing document with the highest version.
 	Routing samphirepass.RoutingDocument
+	// Evacuations holds the last order for each data centre that was ever evacuated.
+	Evacuations map[samphirepass.DataCentre]evacuationRecord
+	// EvacuationsRevision is the index at which the set of evacuated data centres last changed.
+	EvacuationsRevision samphirepass.Revision
 }
 
 // State is the replicated state; it is safe for concurrent use.
@@ -84,6 +88,9 @@
 	if c.NewestPurgedKeyMs == nil {
 		c.NewestPurgedKeyMs = map[samphirepass.Service]samphirepass.Millis{}
 	}
+	if c.Evacuations == nil {
+		c.Evacuations = map[samphirepass.DataCentre]evacuationRecord{}
+	}
 	s.data = c
 	s.changes = make(map[samphirepass.ChangeID]samphirepass.ChangeResult, len(c.Changes))
 	for _, record := range c.Changes {
@@ -108,6 +115,7 @@
 	c.NewestPurgedKeyMs = maps.Clone(c.NewestPurgedKeyMs)
 	c.ReleasedBy = maps.Clone(c.ReleasedBy)
 	c.Seats = slices.Clone(c.Seats)
+	c.Evacuations = maps.Clone(c.Evacuations)
 	return StateCopy{data: c}
 }
 
@@ -170,6 +178,8 @@
 		s.data.Revision = index
 	case cmd.Routing != nil:
 		return Result{Code: s.applyRouting(*cmd.Routing)}
+	case cmd.Evacuation != nil:
+		return Result{Code: s.applyEvacuation(index, *cmd.Evacuation)}
 	}
 	return Result{}
 }
--- a/ledger/state_test.go
+++ b/ledger/state_test.go
@@ -231,7 +231,11 @@
 	c := ledger.Command{NowMs: now}
 	token := fmt.Sprint(rnd.Intn(3))
 	key := samphirepass.RunKey(fmt.Sprint(rnd.Intn(5)))
-	switch rnd.Intn(5) {
+	switch rnd.Intn(6) {
+	case 5:
+		c.Evacuation = &ledger.EvacuationOrder{
+			DataCentre: samphirepass.DataCentre(fmt.Sprint(rnd.Intn(3))), Evacuate: rnd.Intn(2) == 0, Base: samphirepass.Revision(rnd.Intn(2) * rnd.Intn(400)),
+		}
 	case 0:
 		c.FinishForming = &ledger.FinishForming{SeatCount: 3}
 	case 1:
