leaf: Send nothing to the leaves of evacuated data centres

The registry leaves them out of its candidates, which are still cached, and of further attempts on requests in flight. The pool's gate is read before a connection is dialled and before a request is written; attempts that wait for a connection are woken, count as not sent and move to another leaf without budget. Preconnecting, warming and probes of silent connections honour it.

--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -70,7 +70,7 @@
 }
 
 // untriedLeaves returns the leaves of a shard without those already tried. For a further attempt it also drops leaves
-// that have begun to drain since they were selected.
+// that have begun to drain, and those of data centres that have been evacuated, since they were selected.
 func (f *fanOut) untriedLeaves(shard int) []Registration {
 	tried := f.shards[shard].tried
 	if len(tried) == 0 {
@@ -78,7 +78,7 @@
 	}
 	var untried []Registration
 	for _, reg := range f.leaves[shard] {
-		if !slices.Contains(tried, reg.Leaf) && !f.registry.Leaving(reg) {
+		if !slices.Contains(tried, reg.Leaf) && !f.registry.Leaving(reg) && !f.registry.Evacuated(reg.DataCentre) {
 			untried = append(untried, reg)
 		}
 	}
--- a/leaf/changes.go
+++ b/leaf/changes.go
@@ -70,7 +70,8 @@
 	r.silentReports[source] = names
 }
 
-// Serving returns the serving leaves of a service, without those that all sources report as silent.
+// Serving returns the serving leaves of a service, without those that all sources report as silent and those of
+// evacuated data centres.
 // The slice is shared and must not be changed. Every request calls Serving for each of its shards,
 // so the result is cached until something changes.
 func (r *Registry) Serving(service samphirepass.Service) []Registration {
@@ -92,7 +93,7 @@
 	}
 	r.serving = map[samphirepass.Service][]Registration{}
 	for name, reg := range r.leaves {
-		if reg.State == samphirepass.LeafServing && !r.reportedSilentLocked(name) {
+		if reg.State == samphirepass.LeafServing && !r.Evacuated(reg.DataCentre) && !r.reportedSilentLocked(name) {
 			r.serving[reg.Service] = append(r.serving[reg.Service], reg)
 		}
 	}
--- a/leaf/connpool.go
+++ b/leaf/connpool.go
@@ -47,9 +47,13 @@
 	p.waiters = p.waiters[1:]
 }
 
-// acquire returns the most recently used idle connection, or a new one within the limit, or waits for one until ctx ends or the
-// attempt is withdrawn.
-func (p *connPool) acquire(ctx context.Context, permit *samphirepass.SendPermit) (*pooledConn, error) {
+// acquire returns the most recently used idle connection, or a new one within the limit, or waits for one until ctx ends, the
+// attempt is withdrawn or the data centre of the leaf is evacuated.
+func (p *connPool) acquire(ctx context.Context, permit *samphirepass.SendPermit, gate *evacuationGate, dc samphirepass.DataCentre) (*pooledConn, error) {
+	evacuations := gate.state.Load()
+	if evacuations.contains(dc) {
+		return nil, errEvacuated
+	}
 	p.mu.Lock()
 	if n := len(p.idle); n > 0 {
 		pc := p.idle[n-1]
@@ -72,15 +76,22 @@
 	if permit != nil {
 		withdrawn = permit.Withdrawn()
 	}
-	select {
-	case pc := <-wait:
-		return pc, p.awaitReopen(ctx, pc)
-	case <-withdrawn:
-		p.cancelWait(wait)
-		return nil, errWithdrawn
-	case <-ctx.Done():
-		p.cancelWait(wait)
-		return nil, ctx.Err()
+	for {
+		select {
+		case pc := <-wait:
+			return pc, p.awaitReopen(ctx, pc)
+		case <-withdrawn:
+			p.cancelWait(wait)
+			return nil, errWithdrawn
+		case <-evacuations.replaced:
+			if evacuations = gate.state.Load(); evacuations.contains(dc) {
+				p.cancelWait(wait)
+				return nil, errEvacuated
+			}
+		case <-ctx.Done():
+			p.cancelWait(wait)
+			return nil, ctx.Err()
+		}
 	}
 }
 
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -92,11 +92,13 @@
 
 	mu      sync.RWMutex
 	targets map[samphirepass.Leaf]*target
+
+	evacuations *evacuationGate
 }
 
 // NewPool returns an empty pool.
 func NewPool(clock samphirepass.Clock, shares Shares) *Pool {
-	return &Pool{clock: clock, shares: shares, targets: map[samphirepass.Leaf]*target{}}
+	return &Pool{clock: clock, shares: shares, targets: map[samphirepass.Leaf]*target{}, evacuations: newEvacuationGate()}
 }
 
 // target returns the target of a leaf, with the connection limit of the current shares.
--- a/leaf/preconnect.go
+++ b/leaf/preconnect.go
@@ -64,7 +64,7 @@
 	var leaves []Registration
 	for _, reg := range all {
 		present[reg.Leaf] = true
-		if reg.State == samphirepass.LeafServing && p.connected[reg.Leaf] != reg.Incarnation && p.wanted(reg.Announcement) {
+		if reg.State == samphirepass.LeafServing && !p.registry.Evacuated(reg.DataCentre) && p.connected[reg.Leaf] != reg.Incarnation && p.wanted(reg.Announcement) {
 			p.connected[reg.Leaf] = reg.Incarnation
 			leaves = append(leaves, reg)
 		}
@@ -88,6 +88,12 @@
 	dials <- struct{}{}
 	defer func() { <-dials }()
 	// Much may have changed while it waited for its turn.
+	if p.registry.Evacuated(reg.DataCentre) {
+		p.mu.Lock()
+		delete(p.connected, reg.Leaf)
+		p.mu.Unlock()
+		return
+	}
 	if p.registry.Leaving(reg) || !p.wanted(reg.Announcement) {
 		return
 	}
--- a/leaf/registry.go
+++ b/leaf/registry.go
@@ -79,13 +79,15 @@
 	changed chan struct{}
 	// serving caches the result of Serving for each service; it is nil after a change.
 	serving map[samphirepass.Service][]Registration
+	// evacuations are changed under mu.
+	evacuations *evacuationGate
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry(clock samphirepass.Clock) *Registry {
 	return &Registry{
 		clock: clock, leaves: map[samphirepass.Leaf]Registration{}, byAddress: map[string]samphirepass.Leaf{},
-		silentReports: map[string]map[samphirepass.Leaf]bool{},
+		silentReports: map[string]map[samphirepass.Leaf]bool{}, evacuations: newEvacuationGate(),
 	}
 }
 
@@ -301,13 +303,15 @@
 	return all
 }
 
-// Usable returns the serving leaves of a service with a heartbeat within HeartbeatTimeoutMs, and the registry's version.
+// Usable returns the serving leaves of a service with a heartbeat within HeartbeatTimeoutMs, without those of evacuated data centres, and the
+// registry's version.
 // If that is not the majority of the serving leaves, it returns all of them.
 func (r *Registry) Usable(service samphirepass.Service) ([]Registration, uint64) {
 	all := r.All()
 	r.mu.RLock()
 	version := r.version
 	r.mu.RUnlock()
+	all = slices.DeleteFunc(all, func(reg Registration) bool { return r.Evacuated(reg.DataCentre) })
 	return usable(all, service, r.clock.Now()), version
 }
 
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -66,7 +66,7 @@
 }
 
 // record updates the measurements of the leaf. An attempt does not count as a failure of the leaf if the leaf shed it,
-// if another leaf answers at the address, if it was cancelled other than by ErrSuperseded, or if ctx ended before it was sent.
+// if its data centre is evacuated, if another leaf answers at the address, if it was cancelled other than by ErrSuperseded, or if ctx ended before it was sent.
 func (s *Sender) record(ctx context.Context, t *target, att inFlightAttempt, reply samphirepass.Reply, err error) {
 	now := s.clock.Now()
 	took := now - att.startedAt
@@ -79,7 +79,7 @@
 		t.recordSuccess(now, took, att.expected, reply)
 	case kind == samphirepass.FailureShed:
 		t.recordShed(now)
-	case kind == samphirepass.FailureGone:
+	case kind == samphirepass.FailureGone, errors.Is(err, errEvacuated):
 	case errors.Is(err, errWithdrawn):
 		t.recordMinLatency(now, took, att.expected)
 	case errors.Is(context.Cause(ctx), samphirepass.ErrSuperseded):
@@ -93,7 +93,7 @@
 }
 
 func (s *Sender) send(ctx context.Context, t *target, to samphirepass.Announcement, a samphirepass.Attempt, began samphirepass.Millis) (samphirepass.Reply, error) {
-	pc, err := t.conns.acquire(ctx, a.Permit)
+	pc, err := t.conns.acquire(ctx, a.Permit, s.pool.evacuations, to.DataCentre)
 	if err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("wait for a connection: %w", err))
 	}
@@ -112,7 +112,7 @@
 		reply, err = s.exchange(ctx, t, pc, to, a)
 	}
 	reply.WaitedMs = sent - began
-	if errors.Is(err, errExpired) || errors.Is(err, errWithdrawn) {
+	if errors.Is(err, errExpired) || errors.Is(err, errWithdrawn) || errors.Is(err, errEvacuated) {
 		return reply, err
 	}
 	if err != nil {
@@ -134,7 +134,10 @@
 		var cancel context.CancelCauseFunc
 		ctx, cancel = context.WithCancelCause(ctx)
 		defer cancel(nil)
-		defer s.watchSilence(ctx, cancel, t).Stop()
+		defer s.watchSilence(ctx, cancel, t, to.DataCentre).Stop()
+	}
+	if s.pool.evacuations.isEvacuated(to.DataCentre) {
+		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errEvacuated)
 	}
 	if err := pc.connect(ctx, to.Address); err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("send to %s: %w", to.Leaf, err))
@@ -145,6 +148,8 @@
 	switch {
 	case left <= 0:
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errExpired)
+	case s.pool.evacuations.isEvacuated(to.DataCentre):
+		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errEvacuated)
 	case a.Permit != nil && !a.Permit.Use():
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errWithdrawn)
 	}
--- a/leaf/silence.go
+++ b/leaf/silence.go
@@ -24,11 +24,11 @@
 
 // watchSilence cancels an attempt on a reused connection if it is late and an idle connection to the same leaf is dead.
 // A slow request alone is no proof, and HTTP/1.1 cannot probe a connection in use, only an idle one.
-func (s *Sender) watchSilence(ctx context.Context, cancel context.CancelCauseFunc, t *target) *time.Timer {
+func (s *Sender) watchSilence(ctx context.Context, cancel context.CancelCauseFunc, t *target, dc samphirepass.DataCentre) *time.Timer {
 	began := s.clock.Now()
 	wait := min(max(silenceLatencyFactor*t.currentMeanLatency(), silenceMinMs), silenceMaxMs)
 	return time.AfterFunc(wait.Duration(), func() {
-		if s.idleConnDead(ctx, t, began) {
+		if !s.pool.evacuations.isEvacuated(dc) && s.idleConnDead(ctx, t, began) {
 			cancel(errSilent)
 		}
 	})
--- a/leaf/warm.go
+++ b/leaf/warm.go
@@ -41,7 +41,7 @@
 		known := w.registry.All()
 		w.pool.Refresh(known)
 		for _, reg := range known {
-			if reg.State == samphirepass.LeafServing {
+			if reg.State == samphirepass.LeafServing && !w.registry.Evacuated(reg.DataCentre) {
 				w.warm(ctx, reg)
 			}
 		}
