directory, daemon, collector, platform: Evacuate data centres by operators' calls

POST and DELETE /samphirepass/evacuations/ZONE at a registrar give and revoke an order; the answer names the services that have no leaf elsewhere. Registrars send evacuations to their followers at once, and those without a disk relay them. A gateway takes its first routing document only together with evacuations of a source in contact with a leader, or after 3 s without one. Collect requests carry the entry's evacuations, as a collector may be partitioned from the registrars. Readiness does not wait for services whose leaves are all evacuated.

--- a/collector/client.go
+++ b/collector/client.go
@@ -275,7 +275,7 @@
 		go cancelIfSilent(callCtx, cancel, c.opts.Clock, peerClient, d.PartialAfterMs+d.GraceMs+overdueMarginMs)
 	}
 	began := c.startRequest(address)
-	req := collectRequest{Delivery: withElapsed(d, roundTripMs)}
+	req := collectRequest{Delivery: withElapsed(d, roundTripMs), Evacuations: c.opts.Registry.Evacuations()}
 	// Delivery.Shards already holds the shards.
 	req.Delivery.Route.ShardServices = nil
 	var reply collectReply
--- a/collector/messages.go
+++ b/collector/messages.go
@@ -74,4 +74,6 @@
 // applies, not that of the collector.
 type collectRequest struct {
 	Delivery leaf.Delivery
+	// Evacuations are those in force at the entry: a collector that is partitioned from the registrars may not know them.
+	Evacuations samphirepass.Evacuations
 }
--- a/collector/server.go
+++ b/collector/server.go
@@ -24,6 +24,9 @@
 
 // Server answers the requests that other entries forward to this collector; it is safe for concurrent use.
 type Server struct {
+	// OnEvacuations is called with the evacuations in force at an entry, before its request is delivered; it may be nil.
+	OnEvacuations func(samphirepass.Evacuations)
+
 	deliverer gateway.Deliverer
 	stopping  func() bool
 	metrics   *metrics.Metrics
@@ -65,6 +68,9 @@
 	if s.stopping() {
 		return collectReply{}, samphirepass.Refuse(samphirepass.CodeStopping, "the collector is stopping")
 	}
+	if req.Evacuations.Revision > 0 && s.OnEvacuations != nil {
+		s.OnEvacuations(req.Evacuations)
+	}
 	inFlight := s.inFlight.Add(1)
 	if inFlight > maxInFlight {
 		s.inFlight.Add(-1)
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -87,7 +88,7 @@
 	quarantine := policy.NewQuarantine(clock)
 	g.follower = directory.NewFollower(directory.FollowerOptions{
 		VM: cfg.VM, DataCentre: cfg.DataCentre, Seeds: cfg.SeedPeers(), Registry: g.registry, Peers: g.peers, Quarantine: quarantine,
-		Clock: clock, OnRouting: g.applyRouting, Capacity: cfg.Capacity(), CollectAddress: cfg.CollectAddress(), Logf: log.For("directory").Infof,
+		Clock: clock, OnRouting: g.applyRouting, OnEvacuations: g.applyEvacuations, Capacity: cfg.Capacity(), CollectAddress: cfg.CollectAddress(), Logf: log.For("directory").Infof,
 	})
 	sender := leaf.NewSender(g.pool, platform.LeafProtocol{}, clock)
 	sender.OnNotice = g.follower.HandleNotice
@@ -96,6 +97,7 @@
 		Chooser: policy.LeastCostChooser{}, Clock: clock, Budget: g.retryBudget, ExtraPercent: extraPercent,
 	})
 	g.collectorServer = collector.NewServer(g.deliverer, g.refusesParts, g.metrics, log.For("collector"))
+	g.collectorServer.OnEvacuations = g.applyEvacuations
 	g.collectorClient = collector.NewClient(collector.Options{
 		VM: cfg.VM, Local: g.deliverer, Registry: g.registry, Peers: g.peers, Offers: g.follower.Offers, Shards: g.shards, DataCentre: cfg.DataCentre,
 		Address: cfg.CollectAddress(), Collecting: g.follower.IsCollector, Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
@@ -215,10 +217,16 @@
 	return false
 }
 
-// hasLeafOfEveryService reports whether there is an eligible leaf for every service of every route.
+// hasLeafOfEveryService reports whether there is an eligible leaf for every service of every route. Services whose leaves are all evacuated do
+// not count.
 func (g *Gateway) hasLeafOfEveryService(routing samphirepass.Routing) bool {
+	uncovered := g.registry.Uncovered(g.registry.Evacuations().DataCentres)
 	for _, r := range routing.Routes {
-		if g.deliverer.Covered(r.AllServices()) < len(r.AllServices()) {
+		services := r.AllServices()
+		if len(uncovered) > 0 {
+			services = slices.DeleteFunc(slices.Clone(services), func(s samphirepass.Service) bool { return slices.Contains(uncovered, s) })
+		}
+		if g.deliverer.Covered(services) < len(services) {
 			return false
 		}
 	}
--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -33,7 +33,7 @@
 	expiryIntervalMs samphirepass.Millis = 5000
 	// departureTimeoutMs bounds the wait for the disk and for other registrars; a leaf calls another process after a second.
 	departureTimeoutMs samphirepass.Millis = 700
-	// noLeaderAgeMs is reported as the time since the last contact with a leader while this process is not a member.
+	// noLeaderAgeMs is reported as the time since the last contact with a leader while this process is not a member or has not caught up.
 	noLeaderAgeMs samphirepass.Millis = 1e9
 )
 
@@ -79,7 +79,7 @@
 	}
 	if cfg.DataFolder == "" {
 		r.relay = newRoutingRelay()
-		followerOpts.OnRouting = r.relay.set
+		followerOpts.OnRouting, followerOpts.OnEvacuations = r.relay.set, r.relay.setEvacuations
 	}
 	r.follower = directory.NewFollower(followerOpts)
 	r.client = control.NewClient(membersAt(cfg.SeedPeers()), r.peers)
@@ -111,7 +111,7 @@
 	if r.peerHTTP, err = web.Listen(r.cfg.PeerListen(), peerMux); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	api := &platform.ControlAPI{Store: r, Announcements: r, Log: r.log.For("control")}
+	api := &platform.ControlAPI{Store: r, Evacuations: r, Announcements: r, Log: r.log.For("control")}
 	if r.api, err = web.Listen(r.cfg.Control, api.Handler()); err != nil {
 		return fmt.Errorf("listen for operators and leaves: %w", err)
 	}
@@ -141,8 +141,7 @@
 		return age
 	}
 	if m := r.member.Load(); m != nil {
-		_, age := m.Leader()
-		return age
+		return m.SinceCurrent()
 	}
 	return noLeaderAgeMs
 }
--- a/daemon/routing_relay.go
+++ b/daemon/routing_relay.go
@@ -6,12 +6,14 @@
 	"samphirepass"
 )
 
-// routingRelay holds the newest routing document that a registrar without a data folder got from the others, so that the gateways of
-// its data centre need not follow a registrar elsewhere. It is safe for concurrent use.
+// routingRelay holds the newest routing document and evacuations that a registrar without a data folder got from the others, so that the
+// gateways of its data centre need not follow a registrar elsewhere. It is safe for concurrent use.
 type routingRelay struct {
 	mu       sync.Mutex
 	document samphirepass.RoutingDocument
-	// next is closed when a newer document arrives.
+	// evacuations is nil until it has any, also if none were ordered.
+	evacuations *samphirepass.Evacuations
+	// next is closed when a newer document or newer evacuations arrive.
 	next chan struct{}
 }
 
@@ -27,6 +29,22 @@
 		return
 	}
 	r.document = d
+	r.wakeLocked()
+}
+
+// setEvacuations replaces the evacuations by newer ones.
+func (r *routingRelay) setEvacuations(e samphirepass.Evacuations) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.evacuations != nil && e.Revision <= r.evacuations.Revision {
+		return
+	}
+	r.evacuations = &e
+	r.wakeLocked()
+}
+
+// wakeLocked wakes the waiters for a change.
+func (r *routingRelay) wakeLocked() {
 	close(r.next)
 	r.next = make(chan struct{})
 }
@@ -37,6 +55,12 @@
 	return r.document
 }
 
+func (r *routingRelay) getEvacuations() *samphirepass.Evacuations {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.evacuations
+}
+
 func (r *routingRelay) changed() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -23,6 +23,7 @@
 type fakeState struct {
 	mu                 sync.Mutex
 	routing            samphirepass.RoutingDocument
+	evacuations        *samphirepass.Evacuations
 	sinceLeaderContact samphirepass.Millis
 	memberAddresses    []string
 	changed            chan struct{}
@@ -34,6 +35,12 @@
 	return s.routing
 }
 
+func (s *fakeState) AppliedEvacuations() *samphirepass.Evacuations {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuations
+}
+
 func (s *fakeState) SinceLeaderContact() samphirepass.Millis {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -91,7 +98,7 @@
 	require.NoError(t, err)
 	relay, err := standin.NewRelay("127.0.0.1:0", l.Addr().String())
 	require.NoError(t, err)
-	s := &testSource{state: &fakeState{changed: make(chan struct{})}, registry: leaf.NewRegistry(clock), relay: relay, folder: folder}
+	s := &testSource{state: &fakeState{changed: make(chan struct{}), evacuations: &samphirepass.Evacuations{}}, registry: leaf.NewRegistry(clock), relay: relay, folder: folder}
 	quarantine := policy.NewQuarantine(clock)
 	s.source = directory.NewSource(directory.SourceOptions{
 		Self:     directory.Endpoint{Address: relay.Address(), DataCentre: dataCentre(i), HasDisk: folder != ""},
@@ -150,6 +157,9 @@
 	quarantine *policy.Quarantine
 	mu         sync.Mutex
 	versions   []samphirepass.RoutingVersion
+	// evacuations are those passed on, and before the n-th routing document there were evacuationsBefore[n].
+	evacuations       []samphirepass.Evacuations
+	evacuationsBefore []int
 }
 
 func startEntry(t *testing.T, name string, sources []*testSource) *testEntry {
@@ -162,6 +172,11 @@
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.versions = append(e.versions, d.Version)
+			e.evacuationsBefore = append(e.evacuationsBefore, len(e.evacuations))
+		}, OnEvacuations: func(evacuations samphirepass.Evacuations) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.evacuations = append(e.evacuations, evacuations)
 		},
 	})
 	serve(t, e.Follower)
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -70,6 +70,8 @@
 	// OnRouting is called with each newer routing document, in order, by one goroutine at a time; nil if this process gets the
 	// documents from the replicated log.
 	OnRouting func(samphirepass.RoutingDocument)
+	// OnEvacuations is called with each newer set of evacuations, and at least once before OnRouting; nil as OnRouting.
+	OnEvacuations func(samphirepass.Evacuations)
 	// OnEntries is called with the entries that follow a source, at each of its replies; it may be nil.
 	OnEntries func([]samphirepass.VM)
 	// OnOffers is called with the offers of the entries that follow a source, at each of its replies; it may be nil.
@@ -116,9 +118,9 @@
 type Follower struct {
 	opts FollowerOptions
 
-	mu             sync.Mutex
-	sources        map[string]*sourceState
-	routingVersion samphirepass.RoutingVersion
+	mu      sync.Mutex
+	sources map[string]*sourceState
+	state   controlState
 	// upToDateAt is when a source that is not stale last replied, if everUpToDate is set.
 	upToDateAt   samphirepass.Millis
 	everUpToDate bool
@@ -134,14 +136,15 @@
 	collectorAt     samphirepass.Millis
 	everCollector   bool
 
-	routingMu sync.Mutex
+	// stateMu serializes the calls of OnRouting and OnEvacuations.
+	stateMu sync.Mutex
 
 	reports chan report
 }
 
 // NewFollower returns a follower that knows only the seeds.
 func NewFollower(opts FollowerOptions) *Follower {
-	f := &Follower{opts: opts, sources: map[string]*sourceState{}, reports: make(chan report, maxWaitingReports)}
+	f := &Follower{opts: opts, sources: map[string]*sourceState{}, reports: make(chan report, maxWaitingReports), state: controlState{startedAt: opts.Clock.Now()}}
 	for _, seed := range opts.Seeds {
 		if seed != opts.ControlAddress {
 			f.sources[seed] = &sourceState{seed: true, failedAt: opts.Clock.Now() - sourceCooldownMs}
@@ -300,6 +303,10 @@
 			f.opts.Logf("Source %s has had no contact with a leader for %.0f ms; switching to another source.", address, reply.SinceLeaderContactMs)
 			return ""
 		}
+		if f.holdsBack(reply) {
+			// The source offers the same state again at once.
+			f.pause(ctx)
+		}
 		if local := f.pickLocal(address); local != "" && f.tryLocal(ctx, local) {
 			f.opts.Logf("Switching from source %s to %s, which is in this data centre.", address, local)
 			return local
@@ -314,13 +321,13 @@
 	s := f.sources[address]
 	req := followRequest{
 		VM: f.opts.VM, ControlAddress: f.opts.ControlAddress, DataCentre: f.opts.DataCentre,
-		Epoch: s.epoch, LeavesVersion: s.leavesVersion, RoutingVersion: f.routingVersion, WaitMs: pollWaitMs,
+		Epoch: s.epoch, LeavesVersion: s.leavesVersion, RoutingVersion: f.state.routingVersion, WaitMs: pollWaitMs,
 		Capacity: f.opts.Capacity, CollectAddress: f.opts.CollectAddress, OffersVersion: s.offersVersion, EndpointsVersion: s.endpointsVersion,
-		SuspicionsVersion: s.suspicionsVersion, HasDisk: f.opts.HasDisk,
+		SuspicionsVersion: s.suspicionsVersion, HasDisk: f.opts.HasDisk, EvacuationsRevision: f.state.evacuationsRevision,
 	}
 	if f.opts.OnRouting == nil {
-		// A control process gets the documents from the replicated log, so the source must not send any.
-		req.RoutingVersion = math.MaxUint64
+		// A control process gets the documents and evacuations from the replicated log, so the source must not send any.
+		req.RoutingVersion, req.EvacuationsRevision = math.MaxUint64, math.MaxUint64
 	}
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, (pollWaitMs + pollMarginMs).Duration())
@@ -343,7 +350,7 @@
 	if f.opts.ControlAddress == "" {
 		f.opts.Registry.SetSilentReport(address, reply.SilentLeaves, true)
 	}
-	f.applyRouting(reply.Routing)
+	f.applyControlState(reply)
 	if f.opts.Quarantine != nil {
 		for _, suspicion := range reply.Suspicions {
 			f.opts.Quarantine.Merge(suspicion)
@@ -420,21 +427,6 @@
 	return false
 }
 
-// applyRouting passes d to OnRouting if it is newer than the last document; an older one never replaces a newer one.
-func (f *Follower) applyRouting(d samphirepass.RoutingDocument) {
-	f.routingMu.Lock()
-	defer f.routingMu.Unlock()
-	f.mu.Lock()
-	newer := d.Version > f.routingVersion
-	if newer {
-		f.routingVersion = d.Version
-	}
-	f.mu.Unlock()
-	if newer && f.opts.OnRouting != nil {
-		f.opts.OnRouting(d)
-	}
-}
-
 // DiskAddresses returns the peer addresses of the other control processes that are known to have a disk.
 func (f *Follower) DiskAddresses() []string {
 	f.mu.Lock()
--- a/directory/messages.go
+++ b/directory/messages.go
@@ -49,6 +49,8 @@
 	SuspicionsVersion uint64
 	// HasDisk is set if the follower is a control process that keeps the known leaves on a disk.
 	HasDisk bool
+	// EvacuationsRevision is that of the evacuations that the follower has in force.
+	EvacuationsRevision samphirepass.Revision
 }
 
 // endpoint returns the follower's endpoint, without an address if it is not a control process.
@@ -92,6 +94,8 @@
 	SuspicionsVersion uint64
 	// HasDisk is set if the source keeps the known leaves on a disk.
 	HasDisk bool
+	// Evacuations are those that the source has applied, if they are newer than the follower's or come with Routing; nil otherwise.
+	Evacuations *samphirepass.Evacuations
 }
 
 // departure is a leaf that leaves.
--- a/directory/source.go
+++ b/directory/source.go
@@ -33,6 +33,9 @@
 type State interface {
 	// AppliedRouting returns the routing document that this process has applied.
 	AppliedRouting() samphirepass.RoutingDocument
+	// AppliedEvacuations returns the evacuations that this process has applied, or nil while it may lack some that were acknowledged before
+	// it started.
+	AppliedEvacuations() *samphirepass.Evacuations
 	// SinceLeaderContact returns the time since the last contact with a leader.
 	SinceLeaderContact() samphirepass.Millis
 	// MemberAddresses returns the peer addresses of the members of the replicated log.
@@ -125,7 +128,7 @@
 		leavesChanged := s.opts.Registry.Changed(knownVersion)
 		suspicionsChanged := s.suspicionsChanged(req)
 		reply, hasChanges := s.buildReply(req, knownVersion)
-		if hasChanges && len(reply.Leaves) > 0 && knownVersion > 0 && reply.Routing.Version == 0 {
+		if hasChanges && len(reply.Leaves) > 0 && knownVersion > 0 && reply.Routing.Version == 0 && reply.Evacuations == nil {
 			reply = s.coalesce(ctx, req, knownVersion)
 		}
 		if hasChanges {
@@ -184,13 +187,11 @@
 		reply.Endpoints = endpoints
 	}
 	reply.Leaves, reply.LeavesVersion = s.opts.Registry.ChangesSince(knownVersion)
-	if d := s.opts.State.AppliedRouting(); d.Version > req.RoutingVersion {
-		reply.Routing = d
-	}
+	s.addControlState(req, &reply)
 	reply.DirectEntries, _ = s.countEntries()
 	reply.EntryCount, reply.CollectorCount = s.entryCounts()
 	s.addSuspicions(req, &reply)
-	hasChanges := req.Epoch != s.epoch || len(reply.Leaves) > 0 || reply.Routing.Version > 0 || len(reply.Suspicions) > 0
+	hasChanges := req.Epoch != s.epoch || len(reply.Leaves) > 0 || reply.Routing.Version > 0 || reply.Evacuations != nil || len(reply.Suspicions) > 0
 	if req.ControlAddress != "" {
 		reply.DirectOffers = s.directOffers()
 		return reply, hasChanges
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -40,6 +40,8 @@
 	extra    *prometheus.CounterVec
 	runs     *prometheus.CounterVec
 	stages   *prometheus.HistogramVec
+	// evacuated and uncovered are set from the evacuations in force.
+	evacuated, uncovered prometheus.Gauge
 
 	// totalAttempts and totalExtra are the sums of attempts and extra over all services.
 	totalAttempts, totalExtra atomic.Int64
@@ -73,7 +75,13 @@
 		Name: "samphirepass_collect_stage_seconds", Help: "Time of collected requests by stage.",
 		Buckets: []float64{.001, .002, .005, .01, .02, .03, .045, .06, .1, .15, .25, .5, 1},
 	}, []string{"stage"})
-	m.registry.MustRegister(m.queries, m.requests, m.attempts, m.extra, m.runs, m.stages)
+	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "samphirepass_evacuated_data_centres", Help: "Data centres whose leaves get no requests by an operator's order.",
+	})
+	m.uncovered = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "samphirepass_evacuation_uncovered_services", Help: "Services without a leaf outside the evacuated data centres, as of the last order.",
+	})
+	m.registry.MustRegister(m.queries, m.requests, m.attempts, m.extra, m.runs, m.stages, m.evacuated, m.uncovered)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -143,6 +151,12 @@
 	m.runs.WithLabelValues(string(s), string(state)).Inc()
 }
 
+// SetEvacuations records the numbers of evacuated data centres and of services that have no leaf elsewhere.
+func (m *Metrics) SetEvacuations(dataCentres, uncovered int) {
+	m.evacuated.Set(float64(dataCentres))
+	m.uncovered.Set(float64(uncovered))
+}
+
 // Handler returns a handler that serves the metrics to Prometheus.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
