control: Catch up as soon as the leader is known

After a restart of all processes a member found out what was committed up to 70 ms after it had applied it: it looked for the leader in what is published each tick. It now asks its own core, and again at each change.

--- a/control/evacuation.go
+++ b/control/evacuation.go
@@ -70,14 +70,16 @@
 // watchCurrent keeps caughtUp and currentAt up to date. After it has started, or has had no contact with a leader for currentTTLMs, a member
 // asks the leader what is committed, since a first message of the leader does not say what it missed.
 func (n *Node) watchCurrent(ctx context.Context) {
+	var c catchUp
 	for {
-		interval := currentIntervalMs
+		interval, changed := currentIntervalMs, (<-chan struct{})(nil)
 		if !n.extendCurrent() {
-			interval = catchUpIntervalMs
-			n.catchUp(ctx)
+			interval, changed = catchUpIntervalMs, n.Changed()
+			n.tryCatchUp(ctx, &c)
 		}
 		select {
 		case <-time.After(interval.Duration()):
+		case <-changed:
 		case <-n.stopped:
 			return
 		case <-ctx.Done():
@@ -98,39 +100,48 @@
 	return true
 }
 
-// catchUp asks the leader what is committed, and updates caughtUp and currentAt if the ledger holds that.
-func (n *Node) catchUp(ctx context.Context) {
-	asked := n.opts.Clock.Now()
-	committed := n.readLeaderState(ctx)
-	if committed == nil || n.ledger.Routing().Version < committed.RoutingVersion || n.ledger.Evacuations().Revision < committed.EvacuationsRevision {
+// catchUp is what the leader has said is committed, in reply to a request sent at askedAt; nil if it has not been asked.
+type catchUp struct {
+	committed *readStateReply
+	askedAt   samphirepass.Millis
+}
+
+// tryCatchUp asks the leader what is committed, unless it has said so within currentTTLMs, and updates caughtUp and currentAt if the ledger
+// holds that.
+func (n *Node) tryCatchUp(ctx context.Context, c *catchUp) {
+	if now := n.opts.Clock.Now(); c.committed == nil || now-c.askedAt > currentTTLMs {
+		*c = catchUp{askedAt: now, committed: n.readLeaderState(ctx)}
+	}
+	if c.committed == nil || n.ledger.Routing().Version < c.committed.RoutingVersion || n.ledger.Evacuations().Revision < c.committed.EvacuationsRevision {
 		return
 	}
 	n.mu.Lock()
-	n.caughtUp, n.currentAt = true, asked
+	n.caughtUp, n.currentAt = true, c.askedAt
 	n.mu.Unlock()
 	n.notifyChanged()
-	n.opts.Log("Caught up with the log: routing %d, evacuations of revision %d.", committed.RoutingVersion, committed.EvacuationsRevision)
+	n.opts.Log("Caught up with the log: routing %d, evacuations of revision %d.", c.committed.RoutingVersion, c.committed.EvacuationsRevision)
+	*c = catchUp{}
 }
 
 // readLeaderState returns what the leader has applied, confirmed by a majority, or nil if there is no leader that can tell.
 func (n *Node) readLeaderState(ctx context.Context) *readStateReply {
-	leader, _ := n.Leader()
-	if leader.Address == "" {
-		return nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeoutMs.Duration())
 	defer cancel()
-	var reply readStateReply
-	var err error
-	if leader.VM == n.opts.VM {
-		reply, err = n.handleReadState(ctx, readStateRequest{})
-	} else {
-		err = n.opts.Peers.Get(leader.Address).Call(ctx, kindReadState, readStateRequest{}, &reply)
+	reply, err := n.handleReadState(ctx, readStateRequest{})
+	if err == nil {
+		return &reply
+	}
+	// The refusal of a member that does not lead names the leader as soon as that is known.
+	notLeader := samphirepass.AsRefusal(err)
+	if notLeader == nil || notLeader.LeaderAddress == "" || notLeader.Leader == n.opts.VM {
+		return nil
 	}
+	leader := n.opts.Peers.Get(notLeader.LeaderAddress)
+	err = leader.Call(ctx, kindReadState, readStateRequest{}, &reply)
 	if r := samphirepass.AsRefusal(err); r != nil && r.Code == samphirepass.CodeNotFound {
 		// The leader runs a version that stores no evacuations.
 		var routing getRoutingReply
-		err = n.opts.Peers.Get(leader.Address).Call(ctx, kindGetRouting, getRoutingRequest{}, &routing)
+		err = leader.Call(ctx, kindGetRouting, getRoutingRequest{}, &routing)
 		reply.RoutingVersion = routing.Document.Version
 	}
 	if err != nil {
