leaf, directory, daemon: Ask for evacuations after a freeze before sending

It now notices a gap of more than 3 s on the steady or the wall clock, asks its sources at once and holds attempts back until one with a leader has answered, for at most 300 ms.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -72,6 +72,9 @@
 	// wasReady is set once the gateway has reported ready.
 	wasReady atomic.Bool
 
+	// resume is nil if no data centre can be evacuated.
+	resume *leaf.ResumeGuard
+
 	budgetMu sync.Mutex
 	budgets  map[samphirepass.Service]samphirepass.Budget
 }
@@ -92,6 +95,10 @@
 	})
 	sender := leaf.NewSender(g.pool, platform.LeafProtocol{}, clock)
 	sender.OnNotice = g.follower.HandleNotice
+	if len(cfg.DataCentres) > 0 {
+		g.resume = leaf.NewResumeGuard(clock, g.follower.Refresh)
+		sender.Resume = g.resume
+	}
 	g.deliverer = leaf.NewDeliverer(leaf.DelivererOptions{
 		Registry: g.registry, Pool: g.pool, Sender: sender, DataCentre: cfg.DataCentre,
 		Chooser: policy.LeastCostChooser{}, Clock: clock, Budget: g.retryBudget, ExtraPercent: extraPercent,
@@ -247,6 +254,9 @@
 		"metrics server":       g.metricsServer,
 		"collector client":     g.collectorClient,
 	})
+	if g.resume != nil {
+		supervisor.Add(namedService{g.resume, "resume guard"})
+	}
 	if g.peerHTTP != nil {
 		supervisor.Add(namedService{g.peerHTTP, "peer server"})
 		supervisor.Add(namedService{g.collectorServer, "collector server"})
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"samphirepass"
 	"samphirepass/leaf"
@@ -286,7 +287,7 @@
 func (f *Follower) follow(ctx context.Context, address string) string {
 	answered := false
 	for ctx.Err() == nil {
-		reply, err := f.poll(ctx, address)
+		reply, err := f.poll(ctx, address, pollWaitMs)
 		if err != nil {
 			if answered {
 				f.opts.Logf("Lost source %s: %v.", address, err)
@@ -315,13 +316,17 @@
 	return ""
 }
 
-// poll sends one long poll to a source.
-func (f *Follower) poll(ctx context.Context, address string) (followReply, error) {
+// poll sends one poll to a source, which may hold it for waitMs.
+func (f *Follower) poll(ctx context.Context, address string, waitMs samphirepass.Millis) (followReply, error) {
 	f.mu.Lock()
 	s := f.sources[address]
+	if s == nil {
+		f.mu.Unlock()
+		return followReply{}, eris.Errorf("source %s was dropped", address)
+	}
 	req := followRequest{
 		VM: f.opts.VM, ControlAddress: f.opts.ControlAddress, DataCentre: f.opts.DataCentre,
-		Epoch: s.epoch, LeavesVersion: s.leavesVersion, RoutingVersion: f.state.routingVersion, WaitMs: pollWaitMs,
+		Epoch: s.epoch, LeavesVersion: s.leavesVersion, RoutingVersion: f.state.routingVersion, WaitMs: waitMs,
 		Capacity: f.opts.Capacity, CollectAddress: f.opts.CollectAddress, OffersVersion: s.offersVersion, EndpointsVersion: s.endpointsVersion,
 		SuspicionsVersion: s.suspicionsVersion, HasDisk: f.opts.HasDisk, EvacuationsRevision: f.state.evacuationsRevision,
 	}
@@ -330,7 +335,7 @@
 		req.RoutingVersion, req.EvacuationsRevision = math.MaxUint64, math.MaxUint64
 	}
 	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, (pollWaitMs + pollMarginMs).Duration())
+	ctx, cancel := context.WithTimeout(ctx, (waitMs + pollMarginMs).Duration())
 	defer cancel()
 	var reply followReply
 	if err := f.opts.Peers.Get(address).Call(ctx, kindFollow, req, &reply); err != nil {
--- a/directory/local_source.go
+++ b/directory/local_source.go
@@ -24,7 +24,7 @@
 
 // tryLocal polls a source that pickLocal returned and reports whether the follower should switch to it; otherwise it releases the source.
 func (f *Follower) tryLocal(ctx context.Context, address string) bool {
-	reply, err := f.poll(ctx, address)
+	reply, err := f.poll(ctx, address, pollWaitMs)
 	stale := err == nil && f.applyReply(address, reply)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/leaf/conn.go
+++ b/leaf/conn.go
@@ -58,6 +58,8 @@
 	answeredAtMs samphirepass.Millis
 	// idleTimeoutMs is the idle timeout that the leaf announced in its Keep-Alive header, 0 if there was none.
 	idleTimeoutMs samphirepass.Millis
+	// beforeWrite is called right before a request is written, and keeps it from being sent by an error; it may be nil.
+	beforeWrite func() error
 }
 
 // nearIdleTimeout reports whether the leaf may be about to close the idle connection.
@@ -131,6 +133,10 @@
 			done <- false
 			return done, fmt.Errorf("%w: encode request: %w", errNotWritten, err)
 		}
+		if err := pc.checkWrite(); err != nil {
+			done <- false
+			return done, err
+		}
 		n, err := pc.conn.Write(b.Bytes())
 		done <- err == nil
 		switch {
@@ -141,6 +147,10 @@
 		}
 		return done, nil
 	}
+	if err := pc.checkWrite(); err != nil {
+		done <- false
+		return done, err
+	}
 	conn := pc.conn
 	go func() {
 		// After a failed write, the answer or the lack of one determines the outcome.
@@ -149,6 +159,17 @@
 	return done, nil
 }
 
+// checkWrite calls beforeWrite.
+func (pc *pooledConn) checkWrite() error {
+	if pc.beforeWrite == nil {
+		return nil
+	}
+	if err := pc.beforeWrite(); err != nil {
+		return fmt.Errorf("%w: %w", errNotWritten, err)
+	}
+	return nil
+}
+
 // isAlive reports whether an idle connection has neither been closed by the peer nor received bytes that belong to no request.
 func isAlive(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -36,6 +36,8 @@
 	limits   answerLimits
 	// OnNotice is called with what a leaf said of itself, in each of its answers; it may be nil.
 	OnNotice NoticeHandler
+	// Resume holds attempts back after a freeze of the process; nil means that nothing does.
+	Resume *ResumeGuard
 	// canProbe is set if the protocol has a request to check that an idle connection is alive.
 	canProbe bool
 }
@@ -142,6 +144,9 @@
 	if err := pc.connect(ctx, to.Address); err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("send to %s: %w", to.Leaf, err))
 	}
+	if s.Resume != nil {
+		s.Resume.Wait(ctx, a.Permit)
+	}
 	left := a.ExpiresAtMs - s.clock.Now()
 	// A leaf that does not state its own time seems to spend all of it on the network, and an overloaded one must still get some.
 	remaining := max(left-t.currentNetworkLatency(), left*minToldDeadlineFraction)
@@ -157,6 +162,11 @@
 	if err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, err)
 	}
+	if s.Resume != nil {
+		// Between the checks above and the write the process may have been frozen.
+		pc.beforeWrite = func() error { return s.checkResumed(ctx, to.DataCentre) }
+		defer func() { pc.beforeWrite = nil }()
+	}
 	resp, body, err := pc.roundTrip(ctx, req, s.limits)
 	if err != nil {
 		kind := samphirepass.FailureLost
@@ -174,6 +184,15 @@
 	return reply, err
 }
 
+// checkResumed returns errEvacuated if a data centre is evacuated, once the process knows that after a freeze.
+func (s *Sender) checkResumed(ctx context.Context, dc samphirepass.DataCentre) error {
+	s.Resume.Wait(ctx, nil)
+	if s.pool.evacuations.isEvacuated(dc) {
+		return errEvacuated
+	}
+	return nil
+}
+
 // hasCrashed reports whether a leaf has ended since it was sent an attempt whose connection broke. Otherwise the connection that it opens
 // serves the next attempt.
 func hasCrashed(ctx context.Context, pc *pooledConn, to samphirepass.Announcement, err error) bool {
