--- a/collector/client.go
+++ b/collector/client.go
@@ -288,7 +288,7 @@
 		go cancelIfSilent(callCtx, cancel, c.opts.Clock, peerClient, d.PartialAfterMs+d.GraceMs+overdueMarginMs)
 	}
 	began := c.startRequest(address)
-	req := collectRequest{Delivery: withElapsed(d, roundTripMs), KnownShards: c.knownShards(d.Shards)}
+	req := collectRequest{Delivery: withElapsed(d, roundTripMs), KnownShards: c.knownShards(d.Shards), Evacuations: c.opts.Registry.Evacuations()}
 	// Delivery.Shards already holds the shards.
 	req.Delivery.Route.ShardServices = nil
 	var reply collectReply
--- a/collector/messages.go
+++ b/collector/messages.go
@@ -76,4 +76,6 @@
 	Delivery leaf.Delivery
 	// KnownShards is the number of shards of which the entry knows a leaf.
 	KnownShards int
+	// Evacuations are those in force at the entry: a collector that is partitioned from the registrars may not know them.
+	Evacuations samphirepass.Evacuations
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,6 +75,8 @@
 
 	// limits is nil where the settings declare no limits that all gateways share.
 	limits *quota.Client
+	// resume is nil if no data centre can be evacuated.
+	resume *leaf.ResumeGuard
 
 	budgetMu sync.Mutex
 	budgets  map[samphirepass.Service]samphirepass.Budget
@@ -91,16 +94,21 @@
 	quarantine := policy.NewQuarantine(clock)
 	g.follower = directory.NewFollower(directory.FollowerOptions{
 		VM: cfg.VM, DataCentre: cfg.DataCentre, Seeds: cfg.SeedPeers(), Registry: g.registry, Peers: g.peers, Quarantine: quarantine,
-		Clock: clock, OnRouting: g.applyRouting, Capacity: cfg.Capacity(), CollectAddress: cfg.CollectAddress(), Logf: log.For("directory").Infof,
+		Clock: clock, OnRouting: g.applyRouting, OnEvacuations: g.applyEvacuations, Capacity: cfg.Capacity(), CollectAddress: cfg.CollectAddress(), Logf: log.For("directory").Infof,
 		OnCollectorOffers: func() { g.collectorClient.Wake() },
 	})
 	sender := leaf.NewSender(g.pool, platform.LeafProtocol{}, clock)
 	sender.OnNotice = g.follower.HandleNotice
+	if len(cfg.DataCentres) > 0 {
+		g.resume = leaf.NewResumeGuard(clock, g.follower.Refresh)
+		sender.Resume = g.resume
+	}
 	g.deliverer = leaf.NewDeliverer(leaf.DelivererOptions{
 		Registry: g.registry, Pool: g.pool, Sender: sender, DataCentre: cfg.DataCentre,
 		Chooser: policy.LeastCostChooser{}, Clock: clock, Budget: g.retryBudget, ExtraPercent: extraPercent,
 	})
 	g.collectorServer = collector.NewServer(g.deliverer, g.refusesParts, g.metrics, log.For("collector"))
+	g.collectorServer.OnEvacuations = g.applyEvacuations
 	g.collectorClient = collector.NewClient(collector.Options{
 		VM: cfg.VM, Local: g.deliverer, Registry: g.registry, Peers: g.peers, Offers: g.follower.Offers, Shards: g.shards, DataCentre: cfg.DataCentre,
 		Address: cfg.CollectAddress(), Collecting: g.follower.IsCollector, Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
@@ -242,10 +250,16 @@
 	return false
 }
 
-// hasLeafOfEveryService reports whether there is an eligible leaf for every service of every route.
+// hasLeafOfEveryService reports whether there is an eligible leaf for every service of every route. Services whose leaves are all evacuated do
+// not count.
 func (g *Gateway) hasLeafOfEveryService(routing samphirepass.Routing) bool {
+	uncovered := g.registry.Uncovered(g.registry.Evacuations().DataCentres)
 	for _, r := range routing.Routes {
-		if g.deliverer.Covered(r.AllServices()) < len(r.AllServices()) {
+		services := r.AllServices()
+		if len(uncovered) > 0 {
+			services = slices.DeleteFunc(slices.Clone(services), func(s samphirepass.Service) bool { return slices.Contains(uncovered, s) })
+		}
+		if g.deliverer.Covered(services) < len(services) {
 			return false
 		}
 	}
@@ -266,6 +280,9 @@
 		"metrics server":       g.metricsServer,
 		"collector client":     g.collectorClient,
 	})
+	if g.resume != nil {
+		supervisor.Add(namedService{g.resume, "resume guard"})
+	}
 	if g.peerHTTP != nil {
 		supervisor.Add(namedService{g.peerHTTP, "peer server"})
 		supervisor.Add(namedService{g.collectorServer, "collector server"})
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"samphirepass"
 	"samphirepass/leaf"
@@ -70,6 +71,8 @@
 	// OnRouting is called with each newer routing document, in order, by one goroutine at a time; nil if this process gets the
 	// documents from the replicated log.
 	OnRouting func(samphirepass.RoutingDocument)
+	// OnEvacuations is called with each newer set of evacuations, and at least once before OnRouting; nil as OnRouting.
+	OnEvacuations func(samphirepass.Evacuations)
 	// OnEntries is called with the entries that follow a source, at each of its replies; it may be nil.
 	OnEntries func([]samphirepass.VM)
 	// OnOffers is called with the offers of the entries that follow a source, at each of its replies; it may be nil.
@@ -118,9 +121,9 @@
 type Follower struct {
 	opts FollowerOptions
 
-	mu             sync.Mutex
-	sources        map[string]*sourceState
-	routingVersion samphirepass.RoutingVersion
+	mu      sync.Mutex
+	sources map[string]*sourceState
+	state   controlState
 	// upToDateAt is when a source that is not stale last replied, if everUpToDate is set.
 	upToDateAt   samphirepass.Millis
 	everUpToDate bool
@@ -136,14 +139,15 @@
 	collectorAt     samphirepass.Millis
 	everCollector   bool
 
-	routingMu sync.Mutex
+	// stateMu serializes the calls of OnRouting and OnEvacuations.
+	stateMu sync.Mutex
 
 	reports chan report
 }
 
 // NewFollower returns a follower that knows only the seeds.
 func NewFollower(opts FollowerOptions) *Follower {
-	f := &Follower{opts: opts, sources: map[string]*sourceState{}, reports: make(chan report, maxWaitingReports)}
+	f := &Follower{opts: opts, sources: map[string]*sourceState{}, reports: make(chan report, maxWaitingReports), state: controlState{startedAt: opts.Clock.Now()}}
 	for _, seed := range opts.Seeds {
 		if seed != opts.ControlAddress {
 			f.sources[seed] = &sourceState{seed: true, failedAt: opts.Clock.Now() - sourceCooldownMs}
@@ -285,7 +289,7 @@
 func (f *Follower) follow(ctx context.Context, address string) string {
 	answered := false
 	for ctx.Err() == nil {
-		reply, err := f.poll(ctx, address)
+		reply, err := f.poll(ctx, address, pollWaitMs)
 		if err != nil {
 			if answered {
 				f.opts.Logf("Lost source %s: %v.", address, err)
@@ -302,6 +306,10 @@
 			f.opts.Logf("Source %s has had no contact with a leader for %.0f ms; switching to another source.", address, reply.SinceLeaderContactMs)
 			return ""
 		}
+		if f.holdsBack(reply) {
+			// The source offers the same state again at once.
+			f.pause(ctx)
+		}
 		if local := f.pickLocal(address); local != "" && f.tryLocal(ctx, local) {
 			f.opts.Logf("Switching from source %s to %s, which is in this data centre.", address, local)
 			return local
@@ -310,22 +318,26 @@
 	return ""
 }
 
-// poll sends one long poll to a source.
-func (f *Follower) poll(ctx context.Context, address string) (followReply, error) {
+// poll sends one poll to a source, which may hold it for waitMs.
+func (f *Follower) poll(ctx context.Context, address string, waitMs samphirepass.Millis) (followReply, error) {
 	f.mu.Lock()
 	s := f.sources[address]
+	if s == nil {
+		f.mu.Unlock()
+		return followReply{}, eris.Errorf("source %s was dropped", address)
+	}
 	req := followRequest{
 		VM: f.opts.VM, ControlAddress: f.opts.ControlAddress, DataCentre: f.opts.DataCentre,
-		Epoch: s.epoch, LeavesVersion: s.leavesVersion, RoutingVersion: f.routingVersion, WaitMs: pollWaitMs,
+		Epoch: s.epoch, LeavesVersion: s.leavesVersion, RoutingVersion: f.state.routingVersion, WaitMs: waitMs,
 		Capacity: f.opts.Capacity, CollectAddress: f.opts.CollectAddress, OffersVersion: s.offersVersion, EndpointsVersion: s.endpointsVersion,
-		SuspicionsVersion: s.suspicionsVersion, HasDisk: f.opts.HasDisk,
+		SuspicionsVersion: s.suspicionsVersion, HasDisk: f.opts.HasDisk, EvacuationsRevision: f.state.evacuationsRevision,
 	}
 	if f.opts.OnRouting == nil {
-		// A control process gets the documents from the replicated log, so the source must not send any.
-		req.RoutingVersion = math.MaxUint64
+		// A control process gets the documents and evacuations from the replicated log, so the source must not send any.
+		req.RoutingVersion, req.EvacuationsRevision = math.MaxUint64, math.MaxUint64
 	}
 	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, (pollWaitMs + pollMarginMs).Duration())
+	ctx, cancel := context.WithTimeout(ctx, (waitMs + pollMarginMs).Duration())
 	defer cancel()
 	var reply followReply
 	if err := f.opts.Peers.Get(address).Call(ctx, kindFollow, req, &reply); err != nil {
@@ -345,7 +357,7 @@
 	if f.opts.ControlAddress == "" {
 		f.opts.Registry.SetSilentReport(address, reply.SilentLeaves, true)
 	}
-	f.applyRouting(reply.Routing)
+	f.applyControlState(reply)
 	if f.opts.Quarantine != nil {
 		for _, suspicion := range reply.Suspicions {
 			f.opts.Quarantine.Merge(suspicion)
@@ -434,21 +446,6 @@
 	return false
 }
 
-// applyRouting passes d to OnRouting if it is newer than the last document; an older one never replaces a newer one.
-func (f *Follower) applyRouting(d samphirepass.RoutingDocument) {
-	f.routingMu.Lock()
-	defer f.routingMu.Unlock()
-	f.mu.Lock()
-	newer := d.Version > f.routingVersion
-	if newer {
-		f.routingVersion = d.Version
-	}
-	f.mu.Unlock()
-	if newer && f.opts.OnRouting != nil {
-		f.opts.OnRouting(d)
-	}
-}
-
 // DiskEndpoints returns the other control processes that are known to have a disk.
 func (f *Follower) DiskEndpoints() []Endpoint {
 	f.mu.Lock()
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -36,6 +36,8 @@
 	limits   answerLimits
 	// OnNotice is called with what a leaf said of itself, in each of its answers; it may be nil.
 	OnNotice NoticeHandler
+	// Resume holds attempts back after a freeze of the process; nil means that nothing does.
+	Resume *ResumeGuard
 	// canProbe is set if the protocol has a request to check that an idle connection is alive.
 	canProbe bool
 }
@@ -66,7 +68,7 @@
 }
 
 // record updates the measurements of the leaf. An attempt does not count as a failure of the leaf if the leaf shed it,
-// if another leaf answers at the address, if it was cancelled other than by ErrSuperseded, or if ctx ended before it was sent.
+// if its data centre is evacuated, if another leaf answers at the address, if it was cancelled other than by ErrSuperseded, or if ctx ended before it was sent.
 func (s *Sender) record(ctx context.Context, t *target, att inFlightAttempt, reply samphirepass.Reply, err error) {
 	now := s.clock.Now()
 	took := now - att.startedAt
@@ -80,8 +82,7 @@
 		t.recordSuccess(now, took, att.expected, reply)
 	case kind == samphirepass.FailureShed:
 		t.recordShed(now, reply)
-	case kind == samphirepass.FailureGone:
-	case errors.Is(err, errTurnedCold):
+	case kind == samphirepass.FailureGone, errors.Is(err, errEvacuated), errors.Is(err, errTurnedCold):
 	case errors.Is(err, errWithdrawn):
 		t.recordMinLatency(now, took, att.expected)
 	case errors.Is(context.Cause(ctx), samphirepass.ErrSuperseded):
@@ -95,7 +96,7 @@
 }
 
 func (s *Sender) send(ctx context.Context, t *target, to samphirepass.Announcement, a samphirepass.Attempt, began samphirepass.Millis) (samphirepass.Reply, error) {
-	pc, err := t.conns.acquire(ctx, a.Permit)
+	pc, err := t.conns.acquire(ctx, a.Permit, s.pool.evacuations, to.DataCentre)
 	if err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("wait for a connection: %w", err))
 	}
@@ -114,7 +115,7 @@
 		reply, err = s.exchange(ctx, t, pc, to, a)
 	}
 	reply.WaitedMs = sent - began
-	if errors.Is(err, errExpired) || errors.Is(err, errWithdrawn) || errors.Is(err, errTurnedCold) {
+	if errors.Is(err, errExpired) || errors.Is(err, errWithdrawn) || errors.Is(err, errTurnedCold) || errors.Is(err, errEvacuated) {
 		return reply, err
 	}
 	if err != nil {
@@ -137,7 +138,10 @@
 		var cancel context.CancelCauseFunc
 		ctx, cancel = context.WithCancelCause(ctx)
 		defer cancel(nil)
-		defer s.watchSilence(ctx, cancel, t).Stop()
+		defer s.watchSilence(ctx, cancel, t, to.DataCentre).Stop()
+	}
+	if s.pool.evacuations.isEvacuated(to.DataCentre) {
+		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errEvacuated)
 	}
 	if err := pc.connect(ctx, to.Address); err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("send to %s: %w", to.Leaf, err))
@@ -155,12 +159,17 @@
 
 // exchangeCounted is exchange after the attempt has been counted in the leaf's limit.
 func (s *Sender) exchangeCounted(ctx context.Context, t *target, pc *pooledConn, to samphirepass.Announcement, a samphirepass.Attempt) (samphirepass.Reply, error) {
+	if s.Resume != nil {
+		s.Resume.Wait(ctx, a.Permit)
+	}
 	left := a.ExpiresAtMs - s.clock.Now()
 	// A leaf that does not state its own time seems to spend all of it on the network, and an overloaded one must still get some.
 	remaining := max(left-t.currentNetworkLatency(), left*minToldDeadlineFraction)
 	switch {
 	case left <= 0:
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errExpired)
+	case s.pool.evacuations.isEvacuated(to.DataCentre):
+		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errEvacuated)
 	case a.Permit != nil && !a.Permit.Use():
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errWithdrawn)
 	}
@@ -168,6 +177,11 @@
 	if err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, err)
 	}
+	if s.Resume != nil {
+		// Between the checks above and the write the process may have been frozen.
+		pc.beforeWrite = func() error { return s.checkResumed(ctx, to.DataCentre) }
+		defer func() { pc.beforeWrite = nil }()
+	}
 	resp, body, err := pc.roundTrip(ctx, req, s.limits)
 	if err != nil {
 		kind := samphirepass.FailureLost
@@ -185,6 +199,15 @@
 	return reply, err
 }
 
+// checkResumed returns errEvacuated if a data centre is evacuated, once the process knows that after a freeze.
+func (s *Sender) checkResumed(ctx context.Context, dc samphirepass.DataCentre) error {
+	s.Resume.Wait(ctx, nil)
+	if s.pool.evacuations.isEvacuated(dc) {
+		return errEvacuated
+	}
+	return nil
+}
+
 // hasCrashed reports whether a leaf has ended since it was sent an attempt whose connection broke. Otherwise the connection that it opens
 // serves the next attempt.
 func hasCrashed(ctx context.Context, pc *pooledConn, to samphirepass.Announcement, err error) bool {
