policy, daemon: Choose among uneven leaves by weights

A gateway knows of a leaf only what its own answers told it, and all gateways of a data centre prefer the same leaf: of 10 leaves the busiest had 1.54 times the mean number of requests. BalancedChooser draws by measured speed and sends a part elsewhere that grows with the expected gain, with unusual demand and with what the own data centre lacks in slots. Balancer switches a service to it once its leaves differ by more than 4 standard errors and a ratio of 1.25, or are often occupied where the data centre has less than its share of them. Without the setting the gateway uses the previous chooser.

--- /dev/null
+++ b/daemon/balancing.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"strconv"
+
+	"samphirepass"
+	"samphirepass/policy"
+	"samphirepass/settings"
+)
+
+// chooser returns the chooser of leaves that the settings ask for. Only this function knows the switch; with it off, the chooser is the
+// previous one.
+func (g *Gateway) chooser() samphirepass.Chooser {
+	if g.cfg.Balancing != settings.BalancingAuto && g.cfg.Balancing != settings.BalancingOn {
+		return policy.LeastCostChooser{}
+	}
+	g.balancer = policy.NewBalancer(policy.BalancerOptions{
+		Always: g.cfg.Balancing == settings.BalancingOn, DataCentres: len(g.cfg.DataCentres), Clock: g.clock,
+		OnSwitch: g.logBalancing, OnChoice: func(r policy.ChoiceReason) { g.metrics.LeafChoice(string(r)) },
+	})
+	return g.balancer
+}
+
+// logBalancing logs that a service is switched. The lines are bounded like those about requests, and a service is switched on and off
+// twice a minute at most.
+func (g *Gateway) logBalancing(s policy.BalancingSwitch) {
+	g.log.For("gateway").RequestEvent("Balancing switched.", "service", s.Service, "on", s.On, "cause", s.Cause, "speed-ratio", strconv.FormatFloat(s.Ratio, 'f', 2, 64),
+		"busy-share", strconv.FormatFloat(s.BusyShare, 'f', 3, 64), "answers", s.Answers)
+	g.metrics.BalancingSwitched(s.On)
+}
+
+// retainBalancing drops what is measured of services that the routing document in force does not name.
+func (g *Gateway) retainBalancing(routing samphirepass.Routing) {
+	if g.balancer == nil {
+		return
+	}
+	named := map[samphirepass.Service]bool{}
+	for _, r := range routing.Routes {
+		for _, s := range r.AllServices() {
+			named[s] = true
+		}
+	}
+	g.metrics.BalancingDropped(g.balancer.Retain(func(s samphirepass.Service) bool { return named[s] }))
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -60,6 +60,8 @@
 	peerHTTP        *web.Server
 	dispatcher      *gateway.Dispatcher
 	metrics         *metrics.Metrics
+	// balancer is nil if the settings keep the previous choice of leaves.
+	balancer        *policy.Balancer
 	reader          samphirepass.RoutingReader
 	clientServer    *web.Server
 	readinessServer *web.Server
@@ -93,7 +95,7 @@
 	sender.OnNotice = g.follower.HandleNotice
 	g.deliverer = leaf.NewDeliverer(leaf.DelivererOptions{
 		Registry: g.registry, Pool: g.pool, Sender: sender, DataCentre: cfg.DataCentre,
-		Chooser: policy.LeastCostChooser{}, Clock: clock, Budget: g.retryBudget, ExtraPercent: extraPercent,
+		Chooser: g.chooser(), Clock: clock, Budget: g.retryBudget, ExtraPercent: extraPercent,
 	})
 	g.collectorServer = collector.NewServer(g.deliverer, g.refusesParts, g.metrics, log.For("collector"))
 	g.collectorClient = collector.NewClient(collector.Options{
@@ -144,6 +146,7 @@
 	}
 	if g.dispatcher.ApplyRouting(routing) {
 		g.deliverer.Retain(routing.Routes)
+		g.retainBalancing(routing)
 		log.Event("Routing in force.", "version", routing.Version, "routes", len(routing.Routes))
 	}
 }
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -57,6 +57,7 @@
 	// failureRate and refusalRate are the shares of attempts that failed and that the leaf refused.
 	failureRate, refusalRate policy.DecayingRate
 	limiter                  policy.LeafLimiter
+	speed                    policy.LeafSpeed
 	// pausedUntil is the time until which an incarnation of the leaf wants no requests of this entry.
 	pausedUntil       samphirepass.Millis
 	pausedIncarnation samphirepass.Incarnation
@@ -177,6 +178,8 @@
 	}
 	c.MedianLatencyMs = samphirepass.Millis(median(t.recentLatencies)) * latencyScale(expected)
 	c.FailureRate, c.RefusalRate = t.failureRate.Value(now), t.refusalRate.Value(now)
+	c.Service, c.DataCentre = reg.Service, reg.DataCentre
+	t.speed.Describe(now, latencyScale(expected), &c)
 	if t.observedAt > 0 {
 		c.LatencyAgeMs = now - t.observedAt
 	}
@@ -212,6 +215,7 @@
 	defer t.mu.Unlock()
 	t.consecutiveFailures = 0
 	t.load, t.loadAt = r.Load, now
+	t.speed.AddLoad(r.Load)
 	t.recordLatencyLocked(now, took, expected)
 	t.failureRate.Add(now, false)
 	t.refusalRate.Add(now, false)
@@ -222,6 +226,7 @@
 
 func (t *target) recordLatencyLocked(now, took, expected samphirepass.Millis) {
 	t.observedAt = now
+	t.speed.Add(now, float64(took/latencyScale(expected)))
 	if now-took >= t.sampledAt {
 		if len(t.recentLatencies) == medianWindow {
 			t.recentLatencies = t.recentLatencies[1:]
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -40,6 +40,8 @@
 	extra    *prometheus.CounterVec
 	runs     *prometheus.CounterVec
 	stages   *prometheus.HistogramVec
+	choices  *prometheus.CounterVec
+	balanced prometheus.Gauge
 
 	// totalAttempts and totalExtra are the sums of attempts and extra over all services.
 	totalAttempts, totalExtra atomic.Int64
@@ -73,7 +75,13 @@
 		Name: "samphirepass_collect_stage_seconds", Help: "Time of collected requests by stage.",
 		Buckets: []float64{.001, .002, .005, .01, .02, .03, .045, .06, .1, .15, .25, .5, 1},
 	}, []string{"stage"})
-	m.registry.MustRegister(m.queries, m.requests, m.attempts, m.extra, m.runs, m.stages)
+	m.choices = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "samphirepass_leaf_choices_total", Help: "Choices of a leaf by reason.",
+	}, []string{"reason"})
+	m.balanced = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "samphirepass_balanced_services", Help: "Services whose leaves are chosen by weights because of what was measured.",
+	})
+	m.registry.MustRegister(m.queries, m.requests, m.attempts, m.extra, m.runs, m.stages, m.choices, m.balanced)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -143,6 +151,21 @@
 	m.runs.WithLabelValues(string(s), string(state)).Inc()
 }
 
+// LeafChoice records the reason of a choice of a leaf.
+func (m *Metrics) LeafChoice(reason string) { m.choices.WithLabelValues(reason).Inc() }
+
+// BalancingSwitched records that a service is switched to or from choices by weights.
+func (m *Metrics) BalancingSwitched(on bool) {
+	if on {
+		m.balanced.Inc()
+	} else {
+		m.balanced.Dec()
+	}
+}
+
+// BalancingDropped records that n services that were switched on are not known any more.
+func (m *Metrics) BalancingDropped(n int) { m.balanced.Sub(float64(n)) }
+
 // Handler returns a handler that serves the metrics to Prometheus.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/policy.go
+++ b/policy.go
@@ -38,6 +38,19 @@
 	OpenConnections int
 	// MaxConnections is the number of connections that this entry may open to the leaf.
 	MaxConnections int
+	// Service is the service that the leaf serves, DataCentre the data centre that it is in.
+	Service    Service
+	DataCentre DataCentre
+	// UsualLatencyMs is the mean latency of the leaf's last 40 or so answers, UsualErrorMs its standard error, both scaled like
+	// MedianLatencyMs; 0 before the first answer.
+	UsualLatencyMs, UsualErrorMs Millis
+	// Answers is the number of answers of the leaf to this entry.
+	Answers int
+	// RecentLatencyMs is the mean latency of the last 0.3 s or so, RecentAnswers the number of answers in it, each reduced by its age.
+	RecentLatencyMs Millis
+	RecentAnswers   float64
+	// BusyShare is the share of the last 20 or so answers of the leaf that reported all its slots occupied.
+	BusyShare float64
 }
 
 // Chooser picks one of several leaves that hold the same shard and is safe for concurrent use.
