--- a/daemon/balancing.go
+++ b/daemon/balancing.go
@@ -14,6 +14,7 @@
 	if g.cfg.Balancing != settings.BalancingAuto && g.cfg.Balancing != settings.BalancingOn {
 		return policy.LeastCostChooser{}
 	}
+	g.pool.MeasureSpeeds()
 	g.balancer = policy.NewBalancer(policy.BalancerOptions{
 		Always: g.cfg.Balancing == settings.BalancingOn, DataCentres: len(g.cfg.DataCentres), Clock: g.clock,
 		OnSwitch: g.logBalancing, OnChoice: func(r policy.ChoiceReason) { g.metrics.LeafChoice(string(r)) },
--- a/daemon/balancing_test.go
+++ b/daemon/balancing_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"samphirepass"
+	"samphirepass/leaf"
 	"samphirepass/metrics"
 	"samphirepass/policy"
 	"samphirepass/settings"
@@ -16,6 +17,7 @@
 	for setting, balanced := range map[settings.Balancing]bool{"": false, settings.BalancingOff: false, settings.BalancingAuto: true, settings.BalancingOn: true} {
 		t.Run(string(setting), func(t *testing.T) {
 			g := &Gateway{cfg: settings.Node{Balancing: setting}, clock: samphirepass.SystemClock{}, metrics: metrics.NewMetrics()}
+			g.pool = leaf.NewPool(g.clock, routingShares{g})
 			c := g.chooser()
 			if !balanced {
 				require.Equal(t, policy.LeastCostChooser{}, c)
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -57,7 +57,8 @@
 	// failureRate and refusalRate are the shares of attempts that failed and that the leaf refused.
 	failureRate, refusalRate policy.DecayingRate
 	limiter                  policy.LeafLimiter
-	speed                    policy.LeafSpeed
+	// speed is nil unless the pool measures speeds.
+	speed *policy.LeafSpeed
 	// pausedUntil is the time until which an incarnation of the leaf wants no requests of this entry.
 	pausedUntil       samphirepass.Millis
 	pausedIncarnation samphirepass.Incarnation
@@ -90,6 +91,8 @@
 type Pool struct {
 	clock  samphirepass.Clock
 	shares Shares
+	// measuresSpeeds is set before the first target is made.
+	measuresSpeeds bool
 
 	mu      sync.RWMutex
 	targets map[samphirepass.Leaf]*target
@@ -100,6 +103,9 @@
 	return &Pool{clock: clock, shares: shares, targets: map[samphirepass.Leaf]*target{}}
 }
 
+// MeasureSpeeds makes the pool measure how fast leaves answer, for a chooser that uses this; it must be called before the pool is used.
+func (p *Pool) MeasureSpeeds() { p.measuresSpeeds = true }
+
 // target returns the target of a leaf, with the connection limit of the current shares.
 func (p *Pool) target(a samphirepass.Announcement) *target {
 	t := p.lookup(a)
@@ -130,6 +136,9 @@
 		failureRate: policy.DecayingRate{Weight: failureRateWeight, DecayMs: failureRateDecayMs},
 		refusalRate: policy.DecayingRate{Weight: refusalRateWeight, DecayMs: refusalRateDecayMs},
 	}
+	if p.measuresSpeeds {
+		t.speed = &policy.LeafSpeed{}
+	}
 	t.conns.setMaxConns(p.shares.Share(a))
 	t.sharesVersion.Store(p.shares.Version())
 	p.targets[a.Leaf] = t
@@ -179,7 +188,9 @@
 	c.MedianLatencyMs = samphirepass.Millis(median(t.recentLatencies)) * latencyScale(expected)
 	c.FailureRate, c.RefusalRate = t.failureRate.Value(now), t.refusalRate.Value(now)
 	c.Service, c.DataCentre = reg.Service, reg.DataCentre
-	t.speed.Describe(now, latencyScale(expected), &c)
+	if t.speed != nil {
+		t.speed.Describe(now, latencyScale(expected), &c)
+	}
 	if t.observedAt > 0 {
 		c.LatencyAgeMs = now - t.observedAt
 	}
@@ -215,7 +226,9 @@
 	defer t.mu.Unlock()
 	t.consecutiveFailures = 0
 	t.load, t.loadAt = r.Load, now
-	t.speed.AddLoad(r.Load)
+	if t.speed != nil {
+		t.speed.AddLoad(r.Load)
+	}
 	t.recordLatencyLocked(now, took, expected)
 	t.failureRate.Add(now, false)
 	t.refusalRate.Add(now, false)
@@ -226,7 +239,9 @@
 
 func (t *target) recordLatencyLocked(now, took, expected samphirepass.Millis) {
 	t.observedAt = now
-	t.speed.Add(now, float64(took/latencyScale(expected)))
+	if t.speed != nil {
+		t.speed.Add(now, float64(took/latencyScale(expected)))
+	}
 	if now-took >= t.sampledAt {
 		if len(t.recentLatencies) == medianWindow {
 			t.recentLatencies = t.recentLatencies[1:]
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -24,9 +24,9 @@
 	// busyShareOn is the share of answers with all slots occupied from which leaves are short of capacity, busyShareOff the one below which
 	// they are not any more. The share begins at 0, so a leaf's first such answer makes it 0.05: with a few answers a minute it is all that
 	// an entry learns, and services whose leaves are spread evenly over the data centres are not compared by it.
-	busyShareOn, busyShareOff = 0.03, 0.01
+	busyShareOn, busyShareOff = 0.02, 0.005
 	// minBusyAnswers is the number of answers below which leaves do not count as short of capacity.
-	minBusyAnswers = 5
+	minBusyAnswers = 4
 	// demandFastMs and demandSlowMs are the time constants of the two means whose ratio says how unusual the demand is.
 	demandFastMs samphirepass.Millis = 1000
 	demandSlowMs samphirepass.Millis = 30_000
