policy: Ignore implausible loads in a balanced choice

A leaf that reported a load that is not a number made every weight unusable, and the choice had no index. Such a load is ignored, and without a usable weight the previous rules decide (reason fallback). TestImplausibleInputs draws 20,000 combinations of such inputs.

--- a/policy/balanced.go
+++ b/policy/balanced.go
@@ -25,6 +25,8 @@
 	maxSpill  = 0.95
 	// maxReportAgeMs is the age up to which a load that a leaf reported counts.
 	maxReportAgeMs samphirepass.Millis = 300
+	// maxPlausibleLoad bounds a reported load that counts.
+	maxPlausibleLoad = 100
 	// minAnswersKnown is the number of answers from which half of a leaf's measured speed counts.
 	minAnswersKnown = 3
 	// stackCandidates is the number of candidates up to which a choice allocates no memory.
@@ -46,6 +48,8 @@
 	ReasonSpill ChoiceReason = "spill"
 	// ReasonShare is a choice in another data centre, as the own one has less than its share of the leaves.
 	ReasonShare ChoiceReason = "share"
+	// ReasonFallback is a choice by the previous rules, as the weights are unusable.
+	ReasonFallback ChoiceReason = "fallback"
 	// ReasonElsewhere is a choice in another data centre, as the own one has no leaf of the best standing.
 	ReasonElsewhere ChoiceReason = "elsewhere"
 )
@@ -135,7 +139,11 @@
 		}
 	}
 	reason := b.where(candidates, local, remote, typical, known)
-	return draw(leaves, reason, b.random()), reason
+	if i := draw(leaves, reason, b.random()); i >= 0 {
+		return i, reason
+	}
+	// Every weight is 0 or not a number.
+	return LeastCostChooser{Random: b.Random}.Choose(candidates), ReasonFallback
 }
 
 // sums holds the sums over the leaves of the best standing in the own data centre, or elsewhere.
@@ -218,8 +226,9 @@
 	}
 	slots := float64(max(c.Slots, 1))
 	occupied := float64(c.InFlight) / slots
-	if c.LoadAgeMs <= maxReportAgeMs {
-		occupied = max(occupied, c.Load)
+	// A load that is not a number compares as false.
+	if c.LoadAgeMs >= 0 && c.LoadAgeMs <= maxReportAgeMs && c.Load > occupied && c.Load <= maxPlausibleLoad {
+		occupied = c.Load
 	}
 	expected := max(now, usual/2) * (1 + occupied) * (1 + failureCostFactor*c.FailureRate + refusalCostFactor*c.RefusalRate)
 	return weighed{
@@ -245,7 +254,7 @@
 	return known[(len(known)-1)/2]
 }
 
-// draw returns the index of a leaf, drawn by the weights of those that the reason allows.
+// draw returns the index of a leaf, drawn by the weights of those that the reason allows, or -1 if none has a positive weight.
 func draw(leaves []weighed, reason ChoiceReason, u float64) int {
 	weight := func(w weighed) float64 {
 		switch {
--- a/policy/balancing_model_test.go
+++ b/policy/balancing_model_test.go
@@ -98,6 +98,8 @@
 }
 
 type modelLeaf struct {
+	name           samphirepass.Leaf
+	dataCentre     samphirepass.DataCentre
 	dc             int
 	speed          float64
 	running, sent  int
@@ -153,7 +155,7 @@
 	m := &model{modelCase: c, rnd: rand.New(rand.NewPCG(seed, 1)), reasons: s.reasons}
 	leafRnd := rand.New(rand.NewPCG(seed, 2))
 	for i, dc := range c.leaves {
-		l := &modelLeaf{dc: dc, speed: c.speeds[i%len(c.speeds)]}
+		l := &modelLeaf{name: samphirepass.Leaf(fmt.Sprint(i)), dataCentre: samphirepass.DataCentre(fmt.Sprint(dc)), dc: dc, speed: c.speeds[i%len(c.speeds)]}
 		if c.slowShare > 0 {
 			l.slow = phases(leafRnd, c.slowMs, c.slowMs*(1-c.slowShare)/c.slowShare, c.durationMs)
 		}
@@ -314,7 +316,7 @@
 	for i, l := range m.allowed[chooser] {
 		v, inFlight := m.views[chooser][l], m.inFlight[chooser][l]
 		c := samphirepass.Candidate{
-			Leaf: samphirepass.Leaf(fmt.Sprint(l)), SameDataCentre: m.leaves[l].dc == m.dcOf(chooser), InFlight: len(inFlight), Slots: m.slots, Service: "listings",
+			Leaf: m.leaves[l].name, SameDataCentre: m.leaves[l].dc == m.dcOf(chooser), InFlight: len(inFlight), Slots: m.slots, Service: "listings",
 			DataCentre:      samphirepass.DataCentre(fmt.Sprint(m.leaves[l].dc)),
 			MedianLatencyMs: samphirepass.Millis(v.median), MeanLatencyMs: samphirepass.Millis(v.mean), MaxConnections: 1000,
 			Load: v.load, LoadAgeMs: now - samphirepass.Millis(v.loadAt), SinceDiscoveryMs: 60_000, RefusalRate: v.refusals.Value(now),
--- a/policy/balancing_test.go
+++ b/policy/balancing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -41,6 +42,7 @@
 		ageMs    float64
 	}{{1, 2000}, {10, 10}, {300, 10}, {300, 2000}} {
 		t.Run(fmt.Sprintf("%d choosers, %g ms", tt.choosers, tt.ageMs), func(t *testing.T) {
+			t.Parallel()
 			c := busyLeaves(tt.choosers, tt.ageMs)
 			c.durationMs = 12_000
 			before, after := runModel(c, modelStrategies()["least-cost"], 1), runModel(c, modelStrategies()["balanced"], 1)
@@ -192,6 +194,37 @@
 	require.InDelta(t, 0.5, shares(seededChooser(0), []samphirepass.Candidate{loaded, leafAt("idle", 60, 100)})[0], 0.05)
 }
 
+// TestImplausibleInputs guards against a choice that panics or never uses a leaf because a leaf reports an implausible load, a process was suspended,
+// or nothing is known yet: any combination of such inputs yields one of the candidates.
+func TestImplausibleInputs(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	clock := &stepClock{}
+	b := policy.NewBalancer(policy.BalancerOptions{Always: true, DataCentres: 3, Clock: clock, Random: rnd.Float64})
+	pick := func(values ...float64) float64 { return values[rnd.IntN(len(values))] }
+	millis := func() samphirepass.Millis { return samphirepass.Millis(pick(0, 0, 1, 60, 1e9)) }
+	for range 20_000 {
+		clock.now += samphirepass.Millis(pick(0, 1, 100, 3_600_000))
+		candidates := make([]samphirepass.Candidate, 1+rnd.IntN(20))
+		for i := range candidates {
+			candidates[i] = samphirepass.Candidate{
+				Service: "listings", DataCentre: samphirepass.DataCentre(fmt.Sprint(rnd.IntN(3))), SameDataCentre: rnd.IntN(2) == 0,
+				Slots: rnd.IntN(3), InFlight: rnd.IntN(3), MaxConnections: rnd.IntN(3), Load: pick(0, 1, -1, math.NaN(), math.Inf(1), 1e300), LoadAgeMs: millis() - 1,
+				MedianLatencyMs: millis(), UsualLatencyMs: millis(), UsualErrorMs: millis(), RecentLatencyMs: millis(), RecentAnswers: pick(0, 1, 1e6),
+				Answers: rnd.IntN(30), OldestInFlightMs: millis(), ColdMs: millis(), FailureRate: rnd.Float64(), RefusalRate: rnd.Float64(),
+				ConsecutiveFailures: rnd.IntN(6), SinceFailureMs: millis(), BusyShare: rnd.Float64(),
+			}
+		}
+		i, reason := b.Decide(candidates)
+		require.GreaterOrEqual(t, i, 0)
+		require.Less(t, i, len(candidates))
+		require.NotEmpty(t, reason)
+	}
+	share := shares(seededChooser(0), []samphirepass.Candidate{
+		with(leafAt("implausible", 60, 100), func(c *samphirepass.Candidate) { c.Load, c.LoadAgeMs = math.NaN(), 10 }), leafAt("other", 60, 100),
+	})
+	require.InDelta(t, 0.5, share[0], 0.05)
+}
+
 // TestBalancerSwitches guards against a service that is switched by chance, at the first difference, or to and fro.
 func TestBalancerSwitches(t *testing.T) {
 	alike := []samphirepass.Candidate{leafAt("a", 60, 100), leafAt("b", 62, 100)}
