--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -38,7 +38,7 @@
 	r.metrics.EnableLimits()
 	limits := &quota.RoutingLimits{Applied: r.AppliedRouting, Reader: platform.RoutingReader{}}
 	if q := r.cfg.Quota; q != nil {
-		limits.Quotas = &quota.QuotaBounds{WindowMs: q.WindowMs, Overage: q.Overage, Slack: q.Slack}
+		limits.Quotas = &quota.AccountBounds{WindowMs: q.WindowMs, Overage: q.Overage, Slack: q.Slack}
 	}
 	if w := r.cfg.WarmUp; w != nil {
 		limits.WarmUps = &quota.WarmUpBounds{Factor: w.Factor, Slack: w.Slack, Limit: r.registry.WarmUpLimit}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -43,6 +43,8 @@
 	cold     *prometheus.CounterVec
 	// evacuated and uncovered are set from the evacuations in force.
 	evacuated, uncovered prometheus.Gauge
+	choices              *prometheus.CounterVec
+	balanced             prometheus.Gauge
 
 	// totalAttempts and totalExtra are the sums of attempts and extra over all services.
 	totalAttempts, totalExtra atomic.Int64
@@ -88,7 +90,13 @@
 	m.uncovered = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "samphirepass_evacuation_uncovered_services", Help: "Services without a leaf outside the evacuated data centres, as of the last order.",
 	})
-	m.registry.MustRegister(m.queries, m.requests, m.attempts, m.extra, m.runs, m.stages, m.cold, m.evacuated, m.uncovered)
+	m.choices = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "samphirepass_leaf_choices_total", Help: "Choices of a leaf by reason.",
+	}, []string{"reason"})
+	m.balanced = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "samphirepass_balanced_services", Help: "Services whose leaves are chosen by weights because of what was measured.",
+	})
+	m.registry.MustRegister(m.queries, m.requests, m.attempts, m.extra, m.runs, m.stages, m.cold, m.evacuated, m.uncovered, m.choices, m.balanced)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -167,6 +175,21 @@
 	m.uncovered.Set(float64(uncovered))
 }
 
+// LeafChoice records the reason of a choice of a leaf.
+func (m *Metrics) LeafChoice(reason string) { m.choices.WithLabelValues(reason).Inc() }
+
+// BalancingSwitched records that a service is switched to or from choices by weights.
+func (m *Metrics) BalancingSwitched(on bool) {
+	if on {
+		m.balanced.Inc()
+	} else {
+		m.balanced.Dec()
+	}
+}
+
+// BalancingDropped records that n services that were switched on are not known any more.
+func (m *Metrics) BalancingDropped(n int) { m.balanced.Sub(float64(n)) }
+
 // Handler returns a handler that serves the metrics to Prometheus.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/policy.go
+++ b/policy.go
@@ -41,6 +41,19 @@
 	// LoadReported is set if the leaf itself reported Load, with Pace, which is 1 as usual, above 1 if work takes longer, and 0 if not stated.
 	LoadReported bool
 	Pace         float64
+	// Service is the service that the leaf serves, DataCentre the data centre that it is in.
+	Service    Service
+	DataCentre DataCentre
+	// UsualLatencyMs is the mean latency of the leaf's answers over the last 40 or so half seconds with answers, UsualErrorMs its standard
+	// error, both scaled like MedianLatencyMs; 0 before the first answer.
+	UsualLatencyMs, UsualErrorMs Millis
+	// Answers is the number of half seconds with answers of the leaf to this entry.
+	Answers int
+	// RecentLatencyMs is the mean latency of the last 0.3 s or so, RecentAnswers the number of answers in it, each reduced by its age.
+	RecentLatencyMs Millis
+	RecentAnswers   float64
+	// BusyShare is the share of the last 20 or so answers of the leaf that reported all its slots occupied.
+	BusyShare float64
 }
 
 // Chooser picks one of several leaves that hold the same shard and is safe for concurrent use.
--- a/quota/routing_limits.go
+++ b/quota/routing_limits.go
@@ -9,8 +9,8 @@
 // warmUpWindowMs is the window in which the requests to a cold leaf are bounded.
 const warmUpWindowMs samphirepass.Millis = 1000
 
-// QuotaBounds state how far the requests of an account may exceed its quota in a window.
-type QuotaBounds struct {
+// AccountBounds state how far the requests of an account may exceed its quota in a window.
+type AccountBounds struct {
 	WindowMs       samphirepass.Millis
 	Overage, Slack float64
 }
@@ -29,7 +29,7 @@
 	Applied func() samphirepass.RoutingDocument
 	Reader  samphirepass.RoutingReader
 	// Quotas and WarmUps are nil where the settings declare none.
-	Quotas  *QuotaBounds
+	Quotas  *AccountBounds
 	WarmUps *WarmUpBounds
 
 	mu       sync.Mutex
