web, policy, daemon: One budget of memory and connections for all clients

The cause of the red tests: net/http holds a head of any number of lines before a handler is asked, io.ReadAll holds any number of bodies, and answers wait for slow readers without bound. A quarter of memory-mb is now the budget of all servers of a process. A wrapper around each accepted connection follows the lines of heads and charges them, bodies and long answers are charged as their buffers grow, and half of max-descriptors bounds the connections. What holds the most for the longest without progress gives way first; idle connections go only if nothing else can. Refusals are 431, 413, 408 and 503 with Retry-After, written before a request is dispatched. A soft limit on the heap of 0.7 of memory-mb makes the collector keep up.

TestProofLargestRequestIsServed passes. Still red: the frames of peers that stop short, 361 MB.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -43,15 +43,16 @@
 		VM: cfg.VM, Address: cfg.Peer, Members: cfg.Members(), Seats: cfg.EntrySeats, Files: folder,
 		Clock: samphirepass.SystemClock{}, Peers: c.peers, SnapshotEntries: cfg.SnapshotEntries, Log: log.For("control").Infof,
 	})
+	guard := newFileGuard(cfg, log, c.metrics)
 	handlers := newHandlers(log)
 	c.node.Register(handlers)
 	c.peerWS = peer.NewServer(handlers)
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.Path, c.peerWS)
-	if c.peerHTTP, err = web.Listen(cfg.PeerListen, peerMux); err != nil {
+	if c.peerHTTP, err = web.ListenDoor(cfg.PeerListen, peerMux, web.Door{Guard: guard, Name: "peers"}); err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	if c.api, err = web.Listen(cfg.API, c.handler()); err != nil {
+	if c.api, err = web.ListenDoor(cfg.API, c.handler(), web.Door{Guard: guard, Name: "api"}); err != nil {
 		return nil, fmt.Errorf("listen for API requests: %w", err)
 	}
 	return c, nil
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -111,16 +111,17 @@
 }
 
 func (e *Entry) listen() error {
+	guard := newFileGuard(e.cfg, e.log, e.metrics)
 	handlers := newHandlers(e.log)
 	e.peerSyncer.Register(handlers)
 	e.peerWS = peer.NewServer(handlers)
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.Path, e.peerWS)
 	var err error
-	if e.peerHTTP, err = web.Listen(e.cfg.PeerListen, peerMux); err != nil {
+	if e.peerHTTP, err = web.ListenDoor(e.cfg.PeerListen, peerMux, web.Door{Guard: guard, Name: "peers"}); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	if e.api, err = web.Listen(e.cfg.API, e.handler()); err != nil {
+	if e.api, err = web.ListenDoor(e.cfg.API, e.handler(), web.Door{Guard: guard, Name: "api"}); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	return nil
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -108,11 +108,12 @@
 
 func (g *Gateway) listen() error {
 	var err error
+	guard := newGuard(g.cfg, g.log, g.metrics)
 	handler := &platform.ClientHandler{Dispatcher: g.dispatcher, Stopping: g.stopping.Load, Log: g.log.For("front")}
-	if g.clientServer, err = web.Listen(g.cfg.Front, handler); err != nil {
+	if g.clientServer, err = web.ListenDoor(g.cfg.Front, handler, web.Door{Guard: guard, Name: "front", Limits: g.dispatcher.ClientLimits}); err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
-	if g.readinessServer, err = web.Listen(g.cfg.Ready, platform.ReadinessHandler(g.isReady)); err != nil {
+	if g.readinessServer, err = web.ListenDoor(g.cfg.Ready, platform.ReadinessHandler(g.isReady), web.Door{Guard: guard, Name: "ready"}); err != nil {
 		return fmt.Errorf("listen for the balancer: %w", err)
 	}
 	if g.cfg.CollectPort != 0 {
@@ -121,13 +122,13 @@
 		g.peerWS = peer.NewServer(handlers)
 		peerMux := http.NewServeMux()
 		peerMux.Handle(peer.Path, g.peerWS)
-		if g.peerHTTP, err = web.Listen(g.cfg.CollectAddress(), peerMux); err != nil {
+		if g.peerHTTP, err = web.ListenDoor(g.cfg.CollectAddress(), peerMux, web.Door{Guard: guard, Name: "peers"}); err != nil {
 			return fmt.Errorf("listen for collect requests: %w", err)
 		}
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+web.PathMetrics, g.metrics.Handler())
-	if g.metricsServer, err = web.Listen(g.cfg.Metrics, mux); err != nil {
+	if g.metricsServer, err = web.ListenDoor(g.cfg.Metrics, mux, web.Door{Guard: guard, Name: "metrics"}); err != nil {
 		return fmt.Errorf("listen for metrics: %w", err)
 	}
 	return nil
--- a/daemon/registrar.go
+++ b/daemon/registrar.go
@@ -104,20 +104,21 @@
 }
 
 func (r *Registrar) listen() error {
+	guard := newGuard(r.cfg, r.log, r.metrics)
 	r.peerWS = peer.NewServer(r.handlers)
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.Path, r.peerWS)
 	var err error
-	if r.peerHTTP, err = web.Listen(r.cfg.PeerListen(), peerMux); err != nil {
+	if r.peerHTTP, err = web.ListenDoor(r.cfg.PeerListen(), peerMux, web.Door{Guard: guard, Name: "peers"}); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	api := &platform.ControlAPI{Store: r, Announcements: r, Log: r.log.For("control")}
-	if r.api, err = web.Listen(r.cfg.Control, api.Handler()); err != nil {
+	api := &platform.ControlAPI{Store: r, Announcements: r, RoutingBytes: func() int { return len(r.AppliedRouting().Source) }, Log: r.log.For("control")}
+	if r.api, err = web.ListenDoor(r.cfg.Control, api.Handler(), web.Door{Guard: guard, Name: "control"}); err != nil {
 		return fmt.Errorf("listen for operators and leaves: %w", err)
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+web.PathMetrics, r.metrics.Handler())
-	if r.metricsServer, err = web.Listen(r.cfg.Metrics, mux); err != nil {
+	if r.metricsServer, err = web.ListenDoor(r.cfg.Metrics, mux, web.Door{Guard: guard, Name: "metrics"}); err != nil {
 		return fmt.Errorf("listen for metrics: %w", err)
 	}
 	return nil
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -138,6 +138,42 @@
 	m.stages.WithLabelValues(string(stage)).Observe(float64(took) * secondsPerMilli)
 }
 
+// The descriptions of the metrics of clients.
+var (
+	clientBytes       = prometheus.NewDesc("samphirepass_client_memory_bytes", "Memory that clients hold, from the budget of the process.", nil, nil)
+	clientConnections = prometheus.NewDesc("samphirepass_client_connections", "Connections of clients.", nil, nil)
+	clientRefusals    = prometheus.NewDesc("samphirepass_client_refusals_total", "Clients that were refused, by what they exceeded.", []string{"reason"}, nil)
+	clientEvictions   = prometheus.NewDesc("samphirepass_client_evictions_total", "Clients that gave way to others, by what they did.", []string{"state"}, nil)
+)
+
+// clientCollector collects the metrics of clients.
+type clientCollector func() samphirepass.ClientStats
+
+// Describe implements prometheus.Collector.
+func (clientCollector) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{clientBytes, clientConnections, clientRefusals, clientEvictions} {
+		out <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c clientCollector) Collect(out chan<- prometheus.Metric) {
+	stats := c()
+	out <- prometheus.MustNewConstMetric(clientBytes, prometheus.GaugeValue, float64(stats.Bytes))
+	out <- prometheus.MustNewConstMetric(clientConnections, prometheus.GaugeValue, float64(stats.Connections))
+	for reason, n := range stats.Refused {
+		out <- prometheus.MustNewConstMetric(clientRefusals, prometheus.CounterValue, float64(n), reason)
+	}
+	for state, n := range stats.Evicted {
+		out <- prometheus.MustNewConstMetric(clientEvictions, prometheus.CounterValue, float64(n), state)
+	}
+}
+
+// ObserveClients adds the metrics of clients, which read returns at each collection.
+func (m *Metrics) ObserveClients(read func() samphirepass.ClientStats) {
+	m.registry.MustRegister(clientCollector(read))
+}
+
 // Run records one run with its state.
 func (m *Metrics) Run(s samphirepass.Service, state samphirepass.RunState) {
 	m.runs.WithLabelValues(string(s), string(state)).Inc()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -46,6 +46,9 @@
 	SnapshotEntries int `json:"snapshot-entries,omitempty" validate:"omitempty,min=10,max=1000000"`
 	// Policy selects the policies of an entry, policy.NameMeasured if left out.
 	Policy policy.Name `json:"policy,omitempty" validate:"omitempty,oneof=measured baseline measured-random-choice measured-no-hedge measured-open-admission"`
+	// MemoryMb is the memory of the process in megabytes, MaxDescriptors the number of descriptors that it may open, 0 if unknown.
+	MemoryMb       float64 `json:"memory-mb,omitempty" validate:"min=0,max=100000000"`
+	MaxDescriptors int     `json:"max-descriptors,omitempty" validate:"min=0,max=100000000"`
 	// BalancerNoticeMs is how long an entry keeps serving after it has told the load balancer that it is stopping.
 	BalancerNoticeMs samphirepass.Millis `json:"balancer-notice-ms,omitempty" validate:"required_if=Role entry,omitempty,min=1,max=60000"`
 }
--- a/web/http.go
+++ b/web/http.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -19,7 +18,8 @@
 	headerTimeoutMs samphirepass.Millis = 5000
 	// drainPollMs is the interval at which Drain checks for open connections.
 	drainPollMs samphirepass.Millis = 20
-	// maxHeaderBytes bounds the line and the headers of a request. It is above what operators allow their clients.
+	// maxHeaderBytes bounds the line and the headers of a request where no limit is declared. It is above what operators allow their
+	// clients.
 	maxHeaderBytes = 128 << 10
 	// maxBodyBytes is the greatest length of a request body.
 	maxBodyBytes = 1 << 20
@@ -35,23 +35,58 @@
 	draining atomic.Bool
 }
 
-// Listen returns a server that listens on address and answers requests with h once Serve runs.
-func Listen(address string, h http.Handler) (*Server, error) {
+// Listen returns a server that listens on address and answers requests with h once Serve runs. Its clients are bounded by ProcessGuard.
+func Listen(address string, h http.Handler) (*Server, error) { return ListenDoor(address, h, Door{}) }
+
+// ListenDoor returns a server like Listen whose clients are bounded by the guard of a door.
+func ListenDoor(address string, h http.Handler, door Door) (*Server, error) {
+	if door.Guard == nil {
+		door.Guard = ProcessGuard()
+	}
+	if door.Name == "" {
+		door.Name = address
+	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	s := &Server{listener: l}
-	s.server = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeoutMs.Duration(), MaxHeaderBytes: maxHeaderBytes, ConnState: s.trackConn}
+	s := &Server{listener: guardedListener{l, &door}}
+	s.server = &http.Server{
+		Handler: guardHandler(h), ReadHeaderTimeout: headerTimeoutMs.Duration(), MaxHeaderBytes: maxDeclaredHeadBytes + headMarginBytes, ConnState: s.trackConn,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+	}
 	return s, nil
 }
 
+// guardHandler tells the connection of each request when its handling begins and ends.
+func guardHandler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connOf(r.Context())
+		if refused := c.begin(); refused != nil {
+			c.countRefused(refused.reason)
+			if refused.status == http.StatusServiceUnavailable {
+				w.Header().Set("Retry-After", formatSeconds(retryAfter()))
+			}
+			w.Header().Set("Connection", "close")
+			http.Error(w, refused.text, refused.status)
+			return
+		}
+		defer c.answered()
+		h.ServeHTTP(w, r)
+	})
+}
+
 // trackConn counts open connections; a hijacked connection no longer belongs to the server.
-func (s *Server) trackConn(_ net.Conn, state http.ConnState) {
+func (s *Server) trackConn(c net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		s.openConns.Add(1)
-	case http.StateClosed, http.StateHijacked:
+	case http.StateIdle:
+		c.(*conn).idle()
+	case http.StateHijacked:
+		c.(*conn).hijack()
+		s.openConns.Add(-1)
+	case http.StateClosed:
 		s.openConns.Add(-1)
 	}
 }
@@ -111,7 +146,10 @@
 
 // ReadBody returns the body of r, or a refusal if it is too long or cannot be read.
 func ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := Body(w, r, maxBodyBytes)
+	if refusal := samphirepass.AsRefusal(err); refusal != nil {
+		return nil, refusal
+	}
 	if err != nil {
 		refusal := samphirepass.Refuse(samphirepass.CodeInvalid, "read body: %v", err)
 		refusal.Field, refusal.Allowed = "document", fmt.Sprintf("at most %d bytes", maxBodyBytes)
@@ -139,6 +177,9 @@
 	if refusal == nil {
 		refusal = samphirepass.RefuseUnknown("%v", err)
 	}
+	if refusal.NotRun && refusal.RetryAfterMs > 0 {
+		w.Header().Set("Retry-After", formatSeconds(refusal.RetryAfterMs))
+	}
 	WriteJSON(w, Status(refusal.Code), ErrorBody{Error: refusal})
 }
 
@@ -157,6 +198,8 @@
 		return http.StatusGone
 	case samphirepass.CodeOverloaded:
 		return http.StatusTooManyRequests
+	case CodeTooSlow:
+		return http.StatusRequestTimeout
 	case samphirepass.CodeDeadline, samphirepass.CodePartial, samphirepass.CodeOutcomeUnknown:
 		return http.StatusGatewayTimeout
 	default:
