--- a/peer/conn.go
+++ b/peer/conn.go
@@ -13,6 +13,7 @@
 
 	"samphirepass"
 	"samphirepass/cbor"
+	"samphirepass/web"
 )
 
 const (
@@ -66,9 +67,15 @@
 	reply   bool
 }
 
+// maxUnanswered is the number of requests of the other end that may be in flight. A follower or a smaller gateway has some hundreds at
+// most.
+const maxUnanswered = 4096
+
 // conn is one WebSocket connection with a write loop, a read loop and heartbeats.
 type conn struct {
-	ws        *websocket.Conn
+	ws *websocket.Conn
+	// messages charges the messages of the other end to the budget for clients; it is nil at the end that dialled.
+	messages  *web.Messages
 	handlers  *Handlers
 	sendQueue chan queuedFrame
 	// unanswered counts the requests of the other end whose replies have not been written.
@@ -168,6 +175,7 @@
 				c.close()
 				return
 			}
+			c.messages.Dequeue(len(f.encoded))
 			if f.reply {
 				c.unanswered.Add(-1)
 			}
@@ -210,31 +218,45 @@
 func (c *conn) readLoop(ctx context.Context) {
 	var delay transitDelay
 	for {
-		_, b, err := c.ws.Read(ctx)
+		_, in, err := c.ws.Reader(ctx)
+		if err != nil {
+			return
+		}
+		b, release, err := c.messages.Read(in)
 		if err != nil {
 			return
 		}
 		r := received{at: c.clock.Now()}
 		c.lastRead.store(r.at)
 		if err := cbor.Unmarshal(b, &r.frame); err != nil {
+			release()
 			return
 		}
 		if r.SentAtMs > 0 {
 			r.transit = delay.observe(r.SentAtMs, r.at)
 		}
-		c.dispatch(ctx, r)
+		c.dispatch(ctx, r, release)
 	}
 }
 
-func (c *conn) dispatch(ctx context.Context, f received) {
+// dispatch handles a frame. It calls release once the frame is no longer needed.
+func (c *conn) dispatch(ctx context.Context, f received, release func()) {
 	switch {
 	case f.Reply:
 		c.deliverReply(f.frame)
+		release()
 	case f.Cancel:
 		c.cancelIncoming(f.ID)
+		release()
 	case f.Kind == "":
+		release()
 	case f.ID == 0:
 		c.handlers.notify(f.Kind, f.Body)
+		release()
+	case c.unanswered.Load() >= maxUnanswered:
+		release()
+		c.unanswered.Add(1)
+		_ = c.send(frame{ID: f.ID, Reply: true, Refusal: samphirepass.Refuse(samphirepass.CodeOverloaded, "%d requests are in flight on this connection", maxUnanswered)})
 	default:
 		ctx, cancel := context.WithCancel(ctx)
 		c.mu.Lock()
@@ -246,7 +268,10 @@
 			default:
 			}
 		}
-		go c.handle(ctx, f)
+		go func() {
+			defer release()
+			c.handle(ctx, f)
+		}()
 	}
 }
 
@@ -303,6 +328,11 @@
 	if err != nil {
 		return fmt.Errorf("encode frame: %w", err)
 	}
+	if err := c.messages.Queue(len(b)); err != nil {
+		// The other end does not read, or too many others do not.
+		c.close()
+		return ErrLost
+	}
 	select {
 	case c.sendQueue <- queuedFrame{encoded: b, reply: f.Reply}:
 		c.lastSent.store(f.SentAtMs)
--- a/peer/server.go
+++ b/peer/server.go
@@ -14,6 +14,7 @@
 
 	"samphirepass"
 	"samphirepass/cbor"
+	"samphirepass/web"
 )
 
 // Path is the HTTP path at which a process serves its peers.
@@ -149,6 +150,8 @@
 		return
 	}
 	defer s.removeConn(c)
+	c.messages = web.MessagesOf(r.Context(), c.close)
+	defer c.messages.Close()
 	go func() {
 		select {
 		case <-s.ctx.Done():
--- a/policy/client_memory.go
+++ b/policy/client_memory.go
@@ -79,6 +79,8 @@
 	group string
 	// evict is called without locks, once, with the state that the client was in.
 	evict func(ClientState)
+	// patience is the least time without progress after which it is evicted.
+	patience samphirepass.Millis
 	// progressAt is when the client last made progress in sending, in milliseconds; readingSince is when it last did in reading its
 	// answer, 0 while no answer is being written.
 	progressAt, readingSince atomic.Int64
@@ -144,9 +146,10 @@
 	return m.limits.Connections > 0 && float64(m.grouped[group]) >= groupFraction*float64(m.limits.Connections)
 }
 
-// Message returns a holder for a message on a connection that is not counted as one.
-func (m *ClientMemory) Message(now samphirepass.Millis, evict func(ClientState)) *ClientHolder {
-	h := &ClientHolder{memory: m, evict: evict, state: ClientSending}
+// Message returns a holder for messages on a connection, which is not counted as one itself. It gives way to others only after the time
+// patience without progress.
+func (m *ClientMemory) Message(now, patience samphirepass.Millis, evict func(ClientState)) *ClientHolder {
+	h := &ClientHolder{memory: m, patience: patience, evict: evict, state: ClientSending}
 	h.progressAt.Store(int64(now))
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -311,12 +314,12 @@
 	stall := samphirepass.Millis(0)
 	switch h.state {
 	case ClientSending:
-		if stall = now - samphirepass.Millis(h.progressAt.Load()); stall < sending {
+		if stall = now - samphirepass.Millis(h.progressAt.Load()); stall < max(sending, h.patience) {
 			return 0
 		}
 	case ClientWaiting:
 		since := h.readingSince.Load()
-		if stall = now - samphirepass.Millis(since); since == 0 || stall < reading {
+		if stall = now - samphirepass.Millis(since); since == 0 || stall < max(reading, h.patience) {
 			return 0
 		}
 	}
--- a/web/conn.go
+++ b/web/conn.go
@@ -57,6 +57,8 @@
 	reasonBodyTime    = "body-time"
 	reasonAnswers     = "answer-memory"
 	reasonConnections = "connections"
+	reasonMessages    = "message-memory"
+	reasonQueue       = "queue-memory"
 )
 
 // refusal is the answer to a request that is refused before a handler sees it.
@@ -109,6 +111,8 @@
 	buffered atomic.Bool
 	// hijacked is set once the connection no longer belongs to net/http.
 	hijacked atomic.Bool
+	// queue holds the messages that wait to be written on a hijacked connection.
+	queue atomic.Pointer[policy.ClientHolder]
 	// refused is set once a refusal has been written.
 	refused atomic.Bool
 	closed  atomic.Bool
@@ -324,7 +328,11 @@
 	}
 	defer c.holder.Written()
 	for written := 0; ; {
-		c.holder.Writing(c.guard.clock.Now())
+		now := c.guard.clock.Now()
+		c.holder.Writing(now)
+		if q := c.queue.Load(); q != nil {
+			q.Writing(now)
+		}
 		n, err := c.Conn.Write(p[written:min(written+writePieceBytes, len(p))])
 		if written += n; err != nil || written == len(p) {
 			return written, err
