--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -121,7 +121,7 @@
 	if e.peerHTTP, err = web.ListenDoor(e.cfg.PeerListen, peerMux, web.Door{Guard: guard, Name: "peers"}); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	if e.api, err = web.ListenDoor(e.cfg.API, e.handler(), web.Door{Guard: guard, Name: "api"}); err != nil {
+	if e.api, err = web.ListenDoor(e.cfg.API, e.handler(), web.Door{Guard: guard, Name: "api", RefuseOverdrawn: true}); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	return nil
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -110,7 +110,7 @@
 	var err error
 	guard := newGuard(g.cfg, g.log, g.metrics)
 	handler := &platform.ClientHandler{Dispatcher: g.dispatcher, Stopping: g.stopping.Load, Log: g.log.For("front")}
-	if g.clientServer, err = web.ListenDoor(g.cfg.Front, handler, web.Door{Guard: guard, Name: "front", Limits: g.dispatcher.ClientLimits}); err != nil {
+	if g.clientServer, err = web.ListenDoor(g.cfg.Front, handler, web.Door{Guard: guard, Name: "front", RefuseOverdrawn: true, Limits: g.dispatcher.ClientLimits}); err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
 	if g.readinessServer, err = web.ListenDoor(g.cfg.Ready, platform.ReadinessHandler(g.isReady), web.Door{Guard: guard, Name: "ready"}); err != nil {
--- a/daemon/guard.go
+++ b/daemon/guard.go
@@ -27,6 +27,7 @@
 // guard.
 func newFileGuard(cfg settings.File, log logs.Logger, m *metrics.Metrics) *web.Guard {
 	g := web.ProcessGuard()
+	g.LogTo(log.For("clients"))
 	if cfg.MemoryMb > 0 || cfg.MaxDescriptors > 0 {
 		limitHeap(cfg.MemoryMb)
 		g = web.NewGuard(web.GuardOptions{MemoryMb: cfg.MemoryMb, MaxDescriptors: cfg.MaxDescriptors, Log: log.For("clients")})
--- a/policy/client_memory.go
+++ b/policy/client_memory.go
@@ -23,6 +23,8 @@
 	stalledConnectionMs samphirepass.Millis = 1000
 	// groupFraction is the fraction of the connections that one address of the process may hold.
 	groupFraction = 0.75
+	// reserveDivisor is the part of the budget that is left for connections and small requests.
+	reserveDivisor = 4
 	// overdraft is the multiple of the budget that a single message, or answers that exist already, may reach.
 	overdraft = 2
 )
@@ -112,8 +114,20 @@
 // Limits returns the limits.
 func (m *ClientMemory) Limits() ClientMemoryLimits { return m.limits }
 
-// Overdrawn reports whether answers that exist already exceed the budget.
-func (m *ClientMemory) Overdrawn() bool { return m.overdrawn.Load() }
+// Overdrawn reports whether answers that exist already exceed the budget, after the eviction of holders that make no progress.
+func (m *ClientMemory) Overdrawn(now samphirepass.Millis) bool {
+	if !m.overdrawn.Load() {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for m.used > m.limits.Bytes {
+		if !m.evictLocked(m.memoryVictimLocked(now, nil)) {
+			return true
+		}
+	}
+	return false
+}
 
 // Connect adds a connection of a group. If there are too many, the one that has to give way is evicted; without one, it returns
 // ErrMemoryShort. evict must end the connection that it belongs to.
@@ -122,12 +136,18 @@
 	h.progressAt.Store(int64(now))
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for m.connectionsShortLocked(group) {
-		within := ""
-		if m.groupShortLocked(group) {
-			within = group
+	for m.used+connectionBytes > m.limits.Bytes && int64(m.connections+1)*connectionBytes > m.limits.Bytes/reserveDivisor {
+		if !m.evictLocked(m.memoryVictimLocked(now, nil)) && !m.evictLocked(m.connectionVictimLocked(now, "")) {
+			return nil, ErrMemoryShort
 		}
-		if !m.evictLocked(m.connectionVictimLocked(now, within)) {
+	}
+	for m.groupShortLocked(group) {
+		if !m.evictLocked(m.connectionVictimLocked(now, group)) {
+			return nil, ErrMemoryShort
+		}
+	}
+	for m.limits.Connections > 0 && m.connections >= m.limits.Connections {
+		if !m.evictLocked(m.connectionVictimLocked(now, "")) {
 			return nil, ErrMemoryShort
 		}
 	}
@@ -138,10 +158,6 @@
 	return h, nil
 }
 
-func (m *ClientMemory) connectionsShortLocked(group string) bool {
-	return m.used+connectionBytes > m.limits.Bytes || m.limits.Connections > 0 && m.connections >= m.limits.Connections || m.groupShortLocked(group)
-}
-
 func (m *ClientMemory) groupShortLocked(group string) bool {
 	return m.limits.Connections > 0 && float64(m.grouped[group]) >= groupFraction*float64(m.limits.Connections)
 }
@@ -223,16 +239,16 @@
 	others := m.used - h.bytes
 	limit := m.limits.Bytes * 7 / 8
 	if bytes > smallBytes {
-		limit = m.limits.Bytes * 3 / 4
-		if others <= m.limits.Bytes/4 {
+		limit = m.limits.Bytes - m.limits.Bytes/reserveDivisor
+		if others <= m.limits.Bytes/reserveDivisor {
 			limit = m.limits.Bytes * overdraft
 		}
 	}
 	return others+bytes <= limit
 }
 
-// Add adds bytes of an answer that exists already. Holders that make no progress are evicted while the budget is exceeded. It returns
-// ErrMemoryShort if the answer must be dropped.
+// Add adds bytes of an answer that exists already. Holders that make no progress are evicted while the reserve is needed for it. It
+// returns ErrMemoryShort if the answer must be dropped.
 func (h *ClientHolder) Add(now samphirepass.Millis, bytes int64) error {
 	m := h.memory
 	m.mu.Lock()
@@ -240,12 +256,12 @@
 	if h.state == clientEvicted {
 		return ErrEvicted
 	}
-	for m.used+bytes > m.limits.Bytes {
+	for m.used+bytes > m.limits.Bytes-m.limits.Bytes/reserveDivisor {
 		if !m.evictLocked(m.memoryVictimLocked(now, h)) {
 			break
 		}
 	}
-	if m.used+bytes > m.limits.Bytes*overdraft {
+	if m.used+bytes > m.limits.Bytes*overdraft-m.limits.Bytes/reserveDivisor {
 		return ErrMemoryShort
 	}
 	m.setLocked(h, h.bytes+bytes)
--- a/web/body.go
+++ b/web/body.go
@@ -119,6 +119,8 @@
 	if c == nil {
 		return nil
 	}
+	// An answer that is longer than the budget is possible while no other one is.
+	bytes = min(bytes, c.guard.memory.Limits().Bytes)
 	if err := c.holder.Resize(c.guard.clock.Now(), c.held+bytes); err != nil {
 		c.countRefused(reasonAnswers)
 		refusal := samphirepass.Refuse(samphirepass.CodeUnavailable, "there is no memory for the answer now")
--- a/web/conn.go
+++ b/web/conn.go
@@ -287,10 +287,11 @@
 // begin ends the head: a handler gets the request. It returns why the request must be refused, or nil.
 func (c *conn) begin() *refusal {
 	c.inHead.Store(false)
+	now := c.guard.clock.Now()
 	switch {
-	case !c.holder.Enter(policy.ClientWaiting, c.guard.clock.Now()):
+	case !c.holder.Enter(policy.ClientWaiting, now):
 		return refusalHeadTime
-	case c.guard.memory.Overdrawn():
+	case c.door.RefuseOverdrawn && c.guard.memory.Overdrawn(now):
 		return refusalAnswers
 	}
 	return nil
@@ -347,8 +348,9 @@
 	c.guard.countEvicted(state)
 	switch state {
 	case policy.ClientSending:
-		// The reader of the head or the body then refuses the request.
+		// The reader of the head or the body then refuses the request, and the client may have stopped reading as well.
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerMs.Duration()))
 	case policy.ClientReading:
 		if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
 			// Otherwise the system would keep what the client does not read.
--- a/web/guard.go
+++ b/web/guard.go
@@ -41,7 +41,7 @@
 type Guard struct {
 	memory *policy.ClientMemory
 	clock  samphirepass.Clock
-	log    logs.Logger
+	log    atomic.Pointer[logs.Logger]
 	// open counts connections until their descriptor is closed.
 	open atomic.Int64
 	// refused and evicted count clients by the reason, which is one of refusalReasons or the state of the client.
@@ -86,14 +86,19 @@
 			o.MaxDescriptors = int(limit.Cur)
 		}
 	}
-	return &Guard{
+	g := &Guard{
 		memory: policy.NewClientMemory(policy.ClientMemoryLimits{
 			Bytes: int64(o.MemoryMb * clientFraction * (1 << 20)), Connections: int(float64(o.MaxDescriptors) * connectionFraction),
 		}),
-		clock: samphirepass.SystemClock{}, log: o.Log,
+		clock: samphirepass.SystemClock{},
 	}
+	g.LogTo(o.Log)
+	return g
 }
 
+// LogTo sets where refusals and evictions are logged.
+func (g *Guard) LogTo(log logs.Logger) { g.log.Store(&log) }
+
 // ProcessGuard returns the guard of all servers of this process that have no guard with settings of its own.
 var ProcessGuard = sync.OnceValue(func() *Guard { return NewGuard(GuardOptions{}) })
 
@@ -122,7 +127,7 @@
 		return
 	}
 	stats, limits := g.ClientStats(), g.memory.Limits()
-	g.log.Event("Clients refused or evicted.", "held-bytes", stats.Bytes, "budget-bytes", limits.Bytes, "connections", stats.Connections,
+	g.log.Load().Event("Clients refused or evicted.", "held-bytes", stats.Bytes, "budget-bytes", limits.Bytes, "connections", stats.Connections,
 		"max-connections", limits.Connections, "refused", stats.Refused, "evicted", stats.Evicted)
 }
 
@@ -139,6 +144,8 @@
 	Name string
 	// Limits returns the limits on clients that are in force; it may be nil.
 	Limits func() samphirepass.ClientLimits
+	// RefuseOverdrawn makes the door refuse requests while answers exceed the budget. It is for requests whose answers are long.
+	RefuseOverdrawn bool
 }
 
 func (d *Door) limits() samphirepass.ClientLimits {
