--- a/web/conn.go
+++ b/web/conn.go
@@ -34,6 +34,8 @@
 	maxLeadingBytes = 64
 	// headMarginMs is allowed beyond the declared time for a head.
 	headMarginMs samphirepass.Millis = 500
+	// defaultKeepMs is how long an idle connection is kept where no time is declared, unless no other one can give way.
+	defaultKeepMs samphirepass.Millis = 60_000
 	// writePieceBytes is the part of an answer whose writing counts as progress.
 	writePieceBytes = 64 << 10
 	// freeAnswerBytes is the length of an answer that counts with its connection.
@@ -308,7 +310,11 @@
 func (c *conn) idle() {
 	c.head = headReader{joined: c.buffered.Swap(false)}
 	c.held = 0
-	c.holder.Idle(c.guard.clock.Now(), c.door.limits().IdleTimeoutMs)
+	keep := c.door.limits().IdleTimeoutMs
+	if keep <= 0 {
+		keep = defaultKeepMs
+	}
+	c.holder.Idle(c.guard.clock.Now(), keep)
 	c.inHead.Store(true)
 }
 
