--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -77,7 +77,7 @@
 
 	// limits is nil where the settings declare no limits that all gateways share.
 	limits *quota.Client
-	// resume is nil if no data centre can be evacuated.
+	// resume is nil unless the settings bound the time of an evacuation.
 	resume *leaf.ResumeGuard
 
 	budgetMu sync.Mutex
@@ -101,7 +101,7 @@
 	})
 	sender := leaf.NewSender(g.pool, platform.LeafProtocol{}, clock)
 	sender.OnNotice = g.follower.HandleNotice
-	if len(cfg.DataCentres) > 0 {
+	if cfg.EvacuateMs > 0 {
 		g.resume = leaf.NewResumeGuard(clock, g.follower.Refresh)
 		sender.Resume = g.resume
 	}
@@ -144,11 +144,12 @@
 
 func (g *Gateway) listen() error {
 	var err error
+	guard := newGuard(g.cfg, g.log, g.metrics)
 	handler := &platform.ClientHandler{Dispatcher: g.dispatcher, Stopping: g.stopping.Load, Log: g.log.For("front")}
-	if g.clientServer, err = web.Listen(g.cfg.Front, handler); err != nil {
+	if g.clientServer, err = web.ListenDoor(g.cfg.Front, handler, web.Door{Guard: guard, Name: "front", RefuseOverdrawn: true, Limits: g.dispatcher.ClientLimits}); err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
-	if g.readinessServer, err = web.Listen(g.cfg.Ready, platform.ReadinessHandler(g.isReady)); err != nil {
+	if g.readinessServer, err = web.ListenDoor(g.cfg.Ready, platform.ReadinessHandler(g.isReady), web.Door{Guard: guard, Name: "ready"}); err != nil {
 		return fmt.Errorf("listen for the balancer: %w", err)
 	}
 	if g.cfg.CollectPort != 0 {
@@ -157,13 +158,13 @@
 		g.peerWS = peer.NewServer(handlers)
 		peerMux := http.NewServeMux()
 		peerMux.Handle(peer.Path, g.peerWS)
-		if g.peerHTTP, err = web.Listen(g.cfg.CollectAddress(), peerMux); err != nil {
+		if g.peerHTTP, err = web.ListenDoor(g.cfg.CollectAddress(), peerMux, web.Door{Guard: guard, Name: "peers"}); err != nil {
 			return fmt.Errorf("listen for collect requests: %w", err)
 		}
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+web.PathMetrics, g.metrics.Handler())
-	if g.metricsServer, err = web.Listen(g.cfg.Metrics, mux); err != nil {
+	if g.metricsServer, err = web.ListenDoor(g.cfg.Metrics, mux, web.Door{Guard: guard, Name: "metrics"}); err != nil {
 		return fmt.Errorf("listen for metrics: %w", err)
 	}
 	return nil
--- a/settings/node.go
+++ b/settings/node.go
@@ -80,6 +80,8 @@
 	StopMs samphirepass.Millis `json:"stop-ms" validate:"required,min=500,max=600000"`
 	// DataCentres are all data centres of the deployment; operators may evacuate these.
 	DataCentres []samphirepass.DataCentre `json:"data-centres,omitempty" validate:"max=1000,dive,min=1,max=128"`
+	// EvacuateMs is the time after which an evacuation must be in force on all gateways that are not partitioned, 0 if none is declared.
+	EvacuateMs samphirepass.Millis `json:"evacuate-ms,omitempty" validate:"min=0,max=600000"`
 	// Quota is nil where no client accounts have quotas.
 	Quota *Quota `json:"quota,omitempty" validate:"omitempty"`
 	// WarmUp is nil where cold leaves have no limit.
