leaf: Let attempts of accounts wait for a connection by rank and use

Attempts waited for a connection in the order in which they came, whichever account or rank they belonged to, and until their deadline.

Where accounts are declared they now wait in a policy.FairQueue for each leaf, with the use of accounts shared by the connections to all leaves. An attempt that cannot get one in time fails at once as not sent, so that it goes to another leaf without cost to the budget, and does not count as a failure of the leaf. Without accounts the order is as before and no state is kept. DelivererOptions.ShareGates adds a share gate for each route to single leaves; it is off.

--- a/attempt.go
+++ b/attempt.go
@@ -25,6 +25,9 @@
 	Forwarded *ForwardedRequest
 	// AtMostOnce is set for a request that must not run twice.
 	AtMostOnce bool
+	// Rank is that of the request, 0 first. Extra is set for a hedge or a retry.
+	Rank  int
+	Extra bool
 }
 
 // Reply is a leaf's answer to one attempt, which the protocol has checked against the attempt.
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -38,6 +38,8 @@
 		s.cancels = append(s.cancels, cancel)
 	}
 	a := f.newAttempt(shard)
+	// A replacement of an attempt that caused no load counts as a first one.
+	a.Extra = s.countedAttempts > 1
 	a.Permit = &samphirepass.SendPermit{}
 	s.permits = append(s.permits, a.Permit)
 	go f.sendAttempt(ctx, shard, reg, a)
--- a/leaf/conn.go
+++ b/leaf/conn.go
@@ -52,6 +52,8 @@
 	// bounded limits what reader reads from conn.
 	bounded boundedReader
 	reader  *bufio.Reader
+	// acquiredAtMs is when an attempt of an account got the connection, 0 if it is not in use by one.
+	acquiredAtMs samphirepass.Millis
 	// failedAtMs is the time of the last failed request, 0 before the first.
 	failedAtMs samphirepass.Millis
 	// answeredAtMs is the time of the last answer, 0 before the first.
--- a/leaf/connpool.go
+++ b/leaf/connpool.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"samphirepass"
+	"samphirepass/policy"
 )
 
 // reopenDelayMs gives a leaf time to notice a closed connection before the next one counts against its limit.
@@ -24,6 +25,9 @@
 	total   int
 	idle    []*pooledConn
 	waiters []chan *pooledConn
+	// use is that of client accounts, fair holds their waiting attempts, nil before the first one.
+	use  *policy.AccountUse
+	fair *policy.FairQueue[chan *pooledConn]
 }
 
 // setMaxConns changes the limit. Idle connections above it are closed at once, those in use when they are released.
@@ -31,20 +35,27 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.maxConns = n
+	if p.fair != nil {
+		p.fair.SetServers(n)
+	}
 	for p.total > p.maxConns && len(p.idle) > 0 {
 		p.idle[0].close()
 		p.idle = p.idle[1:]
 		p.total--
 	}
-	for p.total < p.maxConns && len(p.waiters) > 0 {
+	for p.total < p.maxConns && p.handToWaiter(&pooledConn{}) {
 		p.total++
-		p.handToWaiter(&pooledConn{})
 	}
 }
 
-func (p *connPool) handToWaiter(pc *pooledConn) {
+// handToWaiter hands a connection to the attempt that is next, and reports whether one waits.
+func (p *connPool) handToWaiter(pc *pooledConn) bool {
+	if len(p.waiters) == 0 {
+		return p.fair.Len() > 0 && p.handToAccount(pc)
+	}
 	p.waiters[0] <- pc
 	p.waiters = p.waiters[1:]
+	return true
 }
 
 // acquire returns the most recently used idle connection, or a new one within the limit, or waits for one until ctx ends or the
@@ -150,8 +161,10 @@
 		pc.close()
 		return
 	}
-	if len(p.waiters) > 0 {
-		p.handToWaiter(pc)
+	if p.fair != nil {
+		p.observeHold(pc)
+	}
+	if p.handToWaiter(pc) {
 		return
 	}
 	p.idle = append(p.idle, pc)
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -112,6 +112,7 @@
 	*fanOutDeps
 	budgets      func(samphirepass.Service) samphirepass.Budget
 	extraPercent samphirepass.Percent
+	shareGates   bool
 
 	mu     sync.Mutex
 	routes map[routeStateKey]routeState
@@ -131,6 +132,8 @@
 type routeState struct {
 	hedger  samphirepass.Hedger
 	skipper *policy.ShardSkipper
+	// gate is nil unless share gates are enabled.
+	gate *policy.ShareGate
 }
 
 // DelivererOptions configures a Deliverer.
@@ -145,13 +148,15 @@
 	Budget func(samphirepass.Service) samphirepass.Budget
 	// ExtraPercent is the percentage of hedges and retries that the hedgers are tuned for.
 	ExtraPercent samphirepass.Percent
+	// ShareGates makes routes to single leaves refuse the accounts with the largest use while the leaves report that requests queue there.
+	ShareGates bool
 }
 
 // NewDeliverer returns a deliverer for an entry.
 func NewDeliverer(opts DelivererOptions) *Deliverer {
 	return &Deliverer{
 		fanOutDeps: &fanOutDeps{registry: opts.Registry, pool: opts.Pool, sender: opts.Sender, dataCentre: opts.DataCentre, chooser: opts.Chooser, clock: opts.Clock},
-		budgets:    opts.Budget, extraPercent: opts.ExtraPercent, routes: map[routeStateKey]routeState{},
+		budgets:    opts.Budget, extraPercent: opts.ExtraPercent, shareGates: opts.ShareGates, routes: map[routeStateKey]routeState{},
 	}
 }
 
@@ -165,6 +170,9 @@
 			hedger:  policy.NewQuantileHedger(d.extraPercent).WithBaseDelay(route.LatencyTargetMs / hedgeDelayDivisor),
 			skipper: policy.NewShardSkipper(),
 		}
+		if d.shareGates {
+			s.gate = policy.NewShareGate()
+		}
 		d.routes[key] = s
 	}
 	return s
@@ -246,15 +254,23 @@
 	opts.newAttempt = func(shard int) samphirepass.Attempt {
 		return samphirepass.Attempt{
 			Request: delivery.Request.ID, Service: delivery.Shards[shard], Forwarded: &delivery.Request.Forwarded,
-			AtMostOnce: opts.atMostOnce, ExpectedMs: opts.expected,
+			AtMostOnce: opts.atMostOnce, ExpectedMs: opts.expected, Rank: delivery.Route.Rank,
 			ExpiresAtMs: began + delivery.Request.DeadlineMs,
 		}
 	}
+	gated := state.gate != nil && delivery.Request.Forwarded.HideCredentials && !delivery.Route.IsScatterGather()
+	if gated && !state.gate.Admit(began, delivery.Request.Forwarded.Account, delivery.Route.Rank) {
+		result.LastErr, result.RetryAfterMs, result.Shed = errCrowded, gateRetryAfterMs(), true
+		return result
+	}
 	f := newFanOut(ctx, d.fanOutDeps, opts, leaves, began)
 	if delivery.OnPartial != nil {
 		f.onPartial = func() { delivery.OnPartial(f.deliveryResult(delivery, result)) }
 	}
 	f.run()
+	if gated && f.shards[0].answered {
+		state.gate.Observe(d.clock.Now(), f.shards[0].reply.Load)
+	}
 	if delivery.PartialAfterMs > 0 {
 		f.recordPunctuality(state.skipper, delivery.Shards)
 	}
--- a/leaf/deliver_test.go
+++ b/leaf/deliver_test.go
@@ -465,3 +465,97 @@
 	result, _ := deliver(d, newDelivery(route))
 	require.Equal(t, 1, result.Answered)
 }
+
+// TestProofExtraAttemptsAreMarked guards against hedges and retries that wait for a connection as first attempts do, against first attempts that
+// wait as extra ones since another leaf had no connection, and against a rank that does not reach the attempt.
+func TestProofExtraAttemptsAreMarked(t *testing.T) {
+	tests := map[string]struct {
+		kind samphirepass.FailureKind
+		want bool
+	}{
+		"after a failure": {samphirepass.FailureLost, true},
+		"after a refusal": {samphirepass.FailureShed, true},
+		"not sent":        {samphirepass.FailureNotSent, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			attempts := make(chan samphirepass.Attempt, 10)
+			s := &scriptedSender{answer: func(_ context.Context, to samphirepass.Leaf, _ int, a samphirepass.Attempt) (samphirepass.Reply, error) {
+				attempts <- a
+				if to == "0-0" {
+					return samphirepass.Reply{}, attemptError(tt.kind)
+				}
+				return okReply()
+			}}
+			d, _ := newDeliverer(s, &fixedBudget{remaining: 10})
+			route := testRoute
+			route.Rank = 2
+			route.Services = []samphirepass.WeightedService{{Service: service(0), Weight: 1}}
+			result, _ := deliver(d, newDelivery(route))
+			require.Equal(t, 1, result.Answered)
+			first, second := <-attempts, <-attempts
+			require.False(t, first.Extra)
+			require.Equal(t, tt.want, second.Extra)
+			require.Equal(t, 2, first.Rank)
+			require.Equal(t, 2, second.Rank)
+		})
+	}
+}
+
+// TestProofShareGateRefusesLargestAccount covers leaves that report that requests queue there. It guards against a gate that refuses small
+// accounts, refuses while it is switched off or where no accounts are declared, or whose refusal does not say that the request was not run.
+func TestProofShareGateRefusesLargestAccount(t *testing.T) {
+	tests := map[string]struct {
+		enabled, accounts bool
+		load              float64
+		refuses           bool
+	}{
+		"overloaded":  {enabled: true, accounts: true, load: 6, refuses: true},
+		"not loaded":  {enabled: true, accounts: true, load: 1},
+		"off":         {accounts: true, load: 6},
+		"no accounts": {enabled: true, load: 6},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clock := bubbleClock{started: time.Now()}
+				s := &scriptedSender{answer: func(context.Context, samphirepass.Leaf, int, samphirepass.Attempt) (samphirepass.Reply, error) {
+					time.Sleep(time.Millisecond)
+					return samphirepass.Reply{Load: tt.load, Answer: &samphirepass.LeafAnswer{Status: 200}}, nil
+				}}
+				r := leaf.NewRegistry(clock)
+				a := newAnnouncement("0-0", 1, 1, samphirepass.LeafServing)
+				a.Service, a.Address = service(0), "127.0.0.1:10"
+				d := leaf.NewDeliverer(leaf.DelivererOptions{
+					Registry: r, Pool: leaf.NewPool(clock, fixedShares(2)), Sender: s, DataCentre: "derby", Chooser: lowestNameChooser{}, Clock: clock,
+					Budget: func(samphirepass.Service) samphirepass.Budget { return &fixedBudget{} }, ExtraPercent: 15, ShareGates: tt.enabled,
+				})
+				route := testRoute
+				route.Services = []samphirepass.WeightedService{{Service: service(0), Weight: 1}}
+				refused := map[samphirepass.AccountName]int{}
+				for i := range 200 {
+					r.Apply(a, 0, true)
+					account := samphirepass.AccountName("large")
+					if i%50 == 0 {
+						account = samphirepass.AccountName(fmt.Sprint("small-", i))
+					}
+					delivery := newDelivery(route)
+					delivery.Request.Forwarded = samphirepass.ForwardedRequest{Account: account, HideCredentials: tt.accounts}
+					result, _ := deliver(d, delivery)
+					if result.Answered == 0 {
+						refused[account]++
+						require.False(t, result.MaybeRun)
+						require.GreaterOrEqual(t, result.RetryAfterMs, samphirepass.Millis(500))
+						require.LessOrEqual(t, result.RetryAfterMs, samphirepass.Millis(1000))
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				if tt.refuses {
+					require.Greater(t, refused["large"], 100)
+					delete(refused, "large")
+				}
+				require.Empty(t, refused)
+			})
+		})
+	}
+}
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -89,6 +89,8 @@
 type Pool struct {
 	clock  samphirepass.Clock
 	shares Shares
+	// use is that of client accounts, over the connections to all leaves.
+	use *policy.AccountUse
 
 	mu      sync.RWMutex
 	targets map[samphirepass.Leaf]*target
@@ -96,7 +98,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(clock samphirepass.Clock, shares Shares) *Pool {
-	return &Pool{clock: clock, shares: shares, targets: map[samphirepass.Leaf]*target{}}
+	return &Pool{clock: clock, shares: shares, use: policy.NewAccountUse(), targets: map[samphirepass.Leaf]*target{}}
 }
 
 // target returns the target of a leaf, with the connection limit of the current shares.
@@ -125,7 +127,7 @@
 		t.conns.setMaxConns(0)
 	}
 	t = &target{
-		address: a.Address, conns: &connPool{clock: p.clock},
+		address: a.Address, conns: &connPool{clock: p.clock, use: p.use},
 		failureRate: policy.DecayingRate{Weight: failureRateWeight, DecayMs: failureRateDecayMs},
 		refusalRate: policy.DecayingRate{Weight: refusalRateWeight, DecayMs: refusalRateDecayMs},
 	}
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -80,7 +80,7 @@
 	case kind == samphirepass.FailureShed:
 		t.recordShed(now)
 	case kind == samphirepass.FailureGone:
-	case errors.Is(err, errWithdrawn):
+	case errors.Is(err, errWithdrawn), errors.Is(err, errCrowded):
 		t.recordMinLatency(now, took, att.expected)
 	case errors.Is(context.Cause(ctx), samphirepass.ErrSuperseded):
 		t.recordFailure(now)
@@ -93,7 +93,7 @@
 }
 
 func (s *Sender) send(ctx context.Context, t *target, to samphirepass.Announcement, a samphirepass.Attempt, began samphirepass.Millis) (samphirepass.Reply, error) {
-	pc, err := t.conns.acquire(ctx, a.Permit)
+	pc, err := t.conns.acquireFor(ctx, a)
 	if err != nil {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("wait for a connection: %w", err))
 	}
