collector: Refuse by rank and use when all slots are taken

A collector with 128 deliveries in flight refused whichever request came next.

Where accounts are declared, up to 32 requests wait for a slot, at most 20 ms and a quarter of the time until a partial answer; slots that come free go by rank and use, and the lowest rank and the account with the largest use are refused first. Without accounts it refuses at once as before. The wait is subtracted from the times of the delivery.

--- a/collector/server.go
+++ b/collector/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"samphirepass"
@@ -28,7 +27,8 @@
 	stopping  func() bool
 	metrics   *metrics.Metrics
 	log       logs.Logger
-	inFlight  atomic.Int64
+	clock     samphirepass.Clock
+	slots     *slots
 	load      loadReport
 
 	mu sync.Mutex
@@ -47,7 +47,8 @@
 
 // NewServer returns a server that asks the leaves through deliverer, and refuses requests once stopping reports true.
 func NewServer(deliverer gateway.Deliverer, stopping func() bool, m *metrics.Metrics, log logs.Logger) *Server {
-	return &Server{deliverer: deliverer, stopping: stopping, metrics: m, log: log, unfinished: map[uint64]*unfinishedDelivery{}}
+	clock := samphirepass.SystemClock{}
+	return &Server{deliverer: deliverer, stopping: stopping, metrics: m, log: log, clock: clock, slots: newSlots(clock, maxInFlight), unfinished: map[uint64]*unfinishedDelivery{}}
 }
 
 // Register adds the handlers for collect requests to h.
@@ -71,16 +72,17 @@
 		s.log.RequestEvent("Collect request refused: too few leaves are known.", "request", d.Request.ID, "shards", len(d.Shards), "known", covered, "known-to-entry", req.KnownShards)
 		return collectReply{}, samphirepass.Refuse(samphirepass.CodeUnavailable, "leaves are known for %d shards, the entry knows leaves of %d", covered, req.KnownShards)
 	}
-	inFlight := s.inFlight.Add(1)
-	if inFlight > maxInFlight {
-		s.inFlight.Add(-1)
+	arrived := s.clock.Now()
+	inFlight, ok := s.slots.take(ctx, d)
+	if !ok {
 		s.load.addRefused()
-		s.log.RequestEvent("Collect request refused.", "request", d.Request.ID, "running", inFlight, "limit", maxInFlight)
+		s.log.RequestEvent("Collect request refused.", "request", d.Request.ID, "running", inFlight, "limit", maxInFlight, "account", d.Request.Forwarded.Account, "rank", d.Route.Rank)
 		return collectReply{}, samphirepass.Refuse(samphirepass.CodeOverloaded, "%d requests are being collected", inFlight)
 	}
 	// The times of the delivery count from its sending.
 	transit := peer.Age(ctx)
-	d = withElapsed(d, transit)
+	took := s.clock.Now()
+	d = withElapsed(d, transit+took-arrived)
 	// The delivery outlives this call if the answers so far are returned.
 	deliverCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.Request.DeadlineMs.Duration())
 	callEnded := context.AfterFunc(ctx, cancel)
@@ -90,7 +92,7 @@
 	}
 	done := make(chan collectReply, 1)
 	go func() {
-		defer s.inFlight.Add(-1)
+		defer func() { s.slots.release(s.clock.Now() - took) }()
 		defer cancel()
 		done <- s.deliver(deliverCtx, d, transit, inFlight)
 	}()
