metrics, gateway: Time and result of requests by account

The nine accounts with the largest quotas have two series of their own, all others share two. Names come from the routing document.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -89,6 +89,9 @@
 			return false
 		}
 		if d.router.CompareAndSwap(current, next) {
+			if routing.HasAccounts {
+				d.opts.Metrics.SetAccounts(routing.Accounts)
+			}
 			if current == nil {
 				close(d.routingReady)
 			}
@@ -355,6 +358,9 @@
 	}
 	label := router.Label(delivery.Route)
 	d.opts.Metrics.ObserveRequest(label, delivery.Route.Rank, outcome, elapsed)
+	if delivery.Request.Forwarded.HideCredentials {
+		d.opts.Metrics.ObserveAccount(delivery.Request.Forwarded.Account, refusal == nil, elapsed)
+	}
 	d.opts.Metrics.Attempts(samphirepass.Service(label), result.Attempts, result.Extra)
 	if refusal != nil {
 		d.opts.Log.RequestEvent("Request not served.", "request", delivery.Request.ID, "route", label, "routing", router.routing.Version,
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -46,6 +46,8 @@
 
 	// limits is nil unless EnableLimits has been called.
 	limits *limitMetrics
+	// accounts is nil until SetAccounts has been called.
+	accounts atomic.Pointer[accountMetrics]
 
 	mu sync.Mutex
 	// labelValues holds the callers and routes that have a label value of their own.
