--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -42,6 +42,8 @@
 		s.cancels = append(s.cancels, cancel)
 	}
 	a := f.newAttempt(shard)
+	// A replacement of an attempt that caused no load counts as a first one.
+	a.Extra = s.countedAttempts > 1
 	a.Permit = &samphirepass.SendPermit{ColdLimit: key}
 	s.permits = append(s.permits, a.Permit)
 	go f.sendAttempt(ctx, shard, reg, a)
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -100,6 +100,8 @@
 
 	// warmUps is nil where cold leaves have no limits.
 	warmUps *warmUps
+	// use is that of client accounts, over the connections to all leaves.
+	use *policy.AccountUse
 
 	mu      sync.RWMutex
 	targets map[samphirepass.Leaf]*target
@@ -109,7 +111,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(clock samphirepass.Clock, shares Shares) *Pool {
-	return &Pool{clock: clock, shares: shares, targets: map[samphirepass.Leaf]*target{}, evacuations: newEvacuationGate()}
+	return &Pool{clock: clock, shares: shares, use: policy.NewAccountUse(), targets: map[samphirepass.Leaf]*target{}, evacuations: newEvacuationGate()}
 }
 
 // MeasureSpeeds makes the pool measure how fast leaves answer, for a chooser that uses this; it must be called before the pool is used.
@@ -141,7 +143,7 @@
 		t.conns.setMaxConns(0)
 	}
 	t = &target{
-		address: a.Address, conns: &connPool{clock: p.clock},
+		address: a.Address, conns: &connPool{clock: p.clock, use: p.use},
 		failureRate: policy.DecayingRate{Weight: failureRateWeight, DecayMs: failureRateDecayMs},
 		refusalRate: policy.DecayingRate{Weight: refusalRateWeight, DecayMs: refusalRateDecayMs},
 	}
