collector, leaf, peer, policy: Deliver a part again whose collector shows no sign of life

A collector that freezes, is cut off or loses power cost nearly every gateway its first request, as each gateway learns of it from its own requests only. A part goes out with a token for further attempts: its collector asks for the token, with a call back over the same connection, before it makes more than one attempt on a shard that may cause load. If no frame came from the collector for a third of the latency target and a margin, and the token is free, the gateway takes it and delivers the part again elsewhere, with one attempt a shard.

--- a/collector/client.go
+++ b/collector/client.go
@@ -14,6 +14,7 @@
 	"samphirepass/gateway"
 	"samphirepass/leaf"
 	"samphirepass/logs"
+	"samphirepass/metrics"
 	"samphirepass/peer"
 	"samphirepass/policy"
 )
@@ -40,6 +41,9 @@
 	neverMs samphirepass.Millis = 1e9
 )
 
+// errNoTokens reports that a repeat was not sent to a collector that does not know of tokens.
+var errNoTokens = fmt.Errorf("%w: the collector does not know of tokens", peer.ErrNotSent)
+
 // Options set up a Client.
 type Options struct {
 	// Local delivers the requests that are not forwarded to a collector.
@@ -60,6 +64,8 @@
 	Capacity samphirepass.Capacity
 	Clock    samphirepass.Clock
 	Log      logs.Logger
+	// Metrics counts the parts that are delivered again; nil means that they are not counted.
+	Metrics *metrics.Metrics
 }
 
 // collectorState is what this entry has observed of one collector.
@@ -68,6 +74,8 @@
 	inFlight []samphirepass.Millis
 	failedAt samphirepass.Millis
 	failed   bool
+	// plainUntil is the time until which parts are sent without tokens, as the collector does not know of them.
+	plainUntil samphirepass.Millis
 }
 
 // Client forwards scatter-gather requests to collectors and delivers all others itself. It implements gateway.Deliverer and is safe for
@@ -76,6 +84,7 @@
 	opts        Options
 	snapshot    atomic.Pointer[offerSnapshot]
 	assignments assignmentCache
+	tokens      tokenTable
 
 	mu         sync.Mutex
 	collectors map[string]*collectorState
@@ -95,7 +104,9 @@
 
 // NewClient returns a client that has not used any collector yet.
 func NewClient(opts Options) *Client {
-	return &Client{opts: opts, collectors: map[string]*collectorState{}, degradedUntil: map[shardLocation]samphirepass.Millis{}, conditions: map[string]samphirepass.CollectorCondition{}, wake: make(chan struct{}, 1)}
+	c := &Client{opts: opts, collectors: map[string]*collectorState{}, degradedUntil: map[shardLocation]samphirepass.Millis{}, conditions: map[string]samphirepass.CollectorCondition{}, wake: make(chan struct{}, 1)}
+	peer.HandleCall(opts.Peers.Handlers(), kindFurther, c.tokens.grant)
+	return c
 }
 
 // Covered returns the number of shards with at least one eligible leaf.
@@ -119,7 +130,7 @@
 	}
 	if len(parts) == 1 {
 		// A request that is not divided has no other parts that could make up for missing shards.
-		result, _ := c.deliverPart(ctx, d, parts[0], dataCentres, offers)
+		result, _ := c.deliverPart(ctx, d, parts[0], nil, dataCentres, offers)
 		return result
 	}
 	return c.gatherParts(ctx, d, parts, dataCentres, offers)
@@ -153,8 +164,9 @@
 }
 
 // deliverPart forwards a part of the shards to a collector, or asks the leaves from this entry if no collector takes it. If the
-// collector still waits for leaves, rest returns the complete result.
-func (c *Client) deliverPart(ctx context.Context, d leaf.Delivery, p part, dataCentres [][]samphirepass.DataCentre, offers []directory.CollectorOffer) (result leaf.DeliveryResult, rest restFunc) {
+// collector still waits for leaves, rest returns the complete result. track follows the part to its collector; nil means that it may not be
+// delivered again.
+func (c *Client) deliverPart(ctx context.Context, d leaf.Delivery, p part, track *sentPart, dataCentres [][]samphirepass.DataCentre, offers []directory.CollectorOffer) (result leaf.DeliveryResult, rest restFunc) {
 	began := c.opts.Clock.Now()
 	for try := range maxCollectorTries {
 		offer, ok := p.collector, p.spread
@@ -167,7 +179,7 @@
 		if !ok {
 			break
 		}
-		result, rest, sent := c.collect(ctx, offer.Address, withElapsed(d, c.opts.Clock.Now()-began))
+		result, rest, sent := c.collect(ctx, offer.Address, withElapsed(d, c.opts.Clock.Now()-began), track)
 		if !sent {
 			continue
 		}
@@ -278,9 +290,9 @@
 }
 
 // collect forwards a request to one collector. sent is false if the request certainly reached no leaf, so that another collector may
-// be asked. If that is uncertain the request is not sent again: both collectors together could make more attempts than the route
-// allows.
-func (c *Client) collect(ctx context.Context, address string, d leaf.Delivery) (result leaf.DeliveryResult, rest restFunc, sent bool) {
+// be asked. If that is uncertain the request is sent again only with the token of its part: otherwise both collectors together could make
+// more attempts than the route allows.
+func (c *Client) collect(ctx context.Context, address string, d leaf.Delivery, track *sentPart) (result leaf.DeliveryResult, rest restFunc, sent bool) {
 	peerClient := c.opts.Peers.Get(address)
 	callCtx, cancel := context.WithTimeout(ctx, d.Request.DeadlineMs.Duration())
 	defer cancel()
@@ -291,12 +303,17 @@
 	req := collectRequest{Delivery: withElapsed(d, roundTripMs), KnownShards: c.knownShards(d.Shards)}
 	// Delivery.Shards already holds the shards.
 	req.Delivery.Route.ShardServices = nil
-	var reply collectReply
-	err := peerClient.Call(callCtx, kindCollect, req, &reply)
+	reply, err := c.callCollector(callCtx, address, req, track)
 	refusal := samphirepass.AsRefusal(err)
 	notSent := errors.Is(err, peer.ErrNotSent) || (refusal != nil && refusal.NotRun)
+	switch {
+	case notSent:
+		track.withdraw()
+	case err != nil:
+		track.setLost()
+	}
 	// An error after the client went away does not count as a failure of the collector.
-	c.finishRequest(address, began, err != nil && ctx.Err() == nil)
+	c.finishRequest(address, began, err != nil && ctx.Err() == nil && !errors.Is(err, errNoTokens))
 	if err != nil {
 		c.opts.Log.RequestEvent("Collect request failed.", "request", d.Request.ID, "collector", address, "sent", !notSent,
 			"took-ms", int(c.opts.Clock.Now()-began), "reason", err.Error())
@@ -308,6 +325,29 @@
 	return reply.result(), rest, true
 }
 
+// callCollector sends a request to a collector, with a token for further attempts if track follows it. A repeat is sent without any token.
+func (c *Client) callCollector(ctx context.Context, address string, req collectRequest, track *sentPart) (reply collectReply, err error) {
+	peerClient := c.opts.Peers.Get(address)
+	if (track != nil || req.Delivery.Extra) && c.takesTokens(address) {
+		if track != nil {
+			req.Token = track.start(address, c.opts.Clock.Now())
+		}
+		err = peerClient.Call(ctx, kindCollectLimited, req, &reply)
+		if refusal := samphirepass.AsRefusal(err); refusal == nil || refusal.Code != samphirepass.CodeNotFound {
+			return reply, err
+		}
+		c.setPlain(address)
+		track.withdraw()
+		req.Token = 0
+	}
+	if req.Delivery.Extra {
+		// An older collector would count the attempts as first ones.
+		return reply, errNoTokens
+	}
+	err = peerClient.Call(ctx, kindCollect, req, &reply)
+	return reply, err
+}
+
 // knownShards counts the shards of which this entry knows a serving leaf, in whatever data centre.
 func (c *Client) knownShards(shards []samphirepass.Service) int {
 	n := 0
--- a/collector/messages.go
+++ b/collector/messages.go
@@ -12,6 +12,11 @@
 	kindCollect     = "collect"
 	kindCollectRest = "collect-rest"
 	kindRelease     = "collect-release"
+	// kindCollectLimited is kindCollect for collectors that make further attempts on a shard only with the token of the request. Older
+	// ones refuse it.
+	kindCollectLimited = "collect-limited"
+	// kindFurther asks the entry for that token.
+	kindFurther = "collect-further"
 )
 
 // collectReply is the result of a scatter-gather request at a collector.
@@ -76,4 +81,16 @@
 	Delivery leaf.Delivery
 	// KnownShards is the number of shards of which the entry knows a leaf.
 	KnownShards int
+	// Token is the number of the token for attempts beyond the first on each shard, 0 if there is none and they may not be made.
+	Token uint64
+}
+
+// furtherRequest asks for a token.
+type furtherRequest struct {
+	Token uint64
+}
+
+// furtherReply says whether the token is granted.
+type furtherReply struct {
+	Granted bool
 }
--- a/collector/parts.go
+++ b/collector/parts.go
@@ -43,8 +43,13 @@
 	result leaf.DeliveryResult
 	// final is unset while leaves may still answer.
 	final bool
+	// repeat is set if the part was delivered again and this is of the second delivery.
+	repeat bool
 }
 
+// partEvents bounds the events of a part: two of its delivery, and the result of its repeat.
+const partEvents = 3
+
 // partGather is one request whose parts are collected at once. The parts together may lack as many shards as the request; which part
 // lacks them does not matter.
 type partGather struct {
@@ -58,6 +63,22 @@
 	results []leaf.DeliveryResult
 	// reported marks the parts with answers so far, final those with a complete result.
 	reported, final []bool
+
+	// The remaining fields serve to deliver parts again.
+	client      *Client
+	ctx         context.Context
+	began       samphirepass.Millis
+	dataCentres [][]samphirepass.DataCentre
+	offers      []directory.CollectorOffer
+	// repeatDelay is the time without a frame after which a part is delivered again, 0 if none is.
+	repeatDelay samphirepass.Millis
+	deliveries  []leaf.Delivery
+	sent        []*sentPart
+	// running counts the deliveries of each part that have not ended. repeated marks the parts that were delivered again, winner those whose
+	// result is of the second delivery.
+	running                      []int
+	repeated, winner             []bool
+	cancelOriginal, cancelRepeat []context.CancelFunc
 }
 
 // gatherParts delivers the parts and returns once enough shards have answered, or too many cannot answer any more.
@@ -65,27 +86,42 @@
 	if d.PartialAfterMs > 0 {
 		d.PartialAfterMs = max(d.PartialAfterMs-mergePartsMs, 1)
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n := len(parts)
 	g := &partGather{
-		delivery: d, parts: parts, allowed: len(d.Shards) - d.RequiredShards(), events: make(chan partEvent, 2*len(parts)), needRest: make(chan struct{}),
-		results: make([]leaf.DeliveryResult, len(parts)), reported: make([]bool, len(parts)), final: make([]bool, len(parts)),
+		delivery: d, parts: parts, allowed: len(d.Shards) - d.RequiredShards(), events: make(chan partEvent, partEvents*n), needRest: make(chan struct{}),
+		results: make([]leaf.DeliveryResult, n), reported: make([]bool, n), final: make([]bool, n),
+		client: c, ctx: ctx, began: c.opts.Clock.Now(), dataCentres: dataCentres, offers: offers,
+		deliveries: make([]leaf.Delivery, n), sent: make([]*sentPart, n), running: make([]int, n), repeated: make([]bool, n), winner: make([]bool, n),
+		cancelOriginal: make([]context.CancelFunc, n), cancelRepeat: make([]context.CancelFunc, n),
+	}
+	if policy.LimitsAttempts(d.Route) && !d.Extra {
+		g.repeatDelay = policy.RepeatDelay(d.Route.LatencyTargetMs)
 	}
 	shardParts := make([]samphirepass.ShardPart, len(parts))
 	for i, p := range parts {
 		shardParts[i] = p.ShardPart
 	}
 	due := policy.SplitMissingAllowance(g.allowed, shardParts)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	for i, p := range parts {
+		delivery := partDelivery(d, p, g.allowed, due[i])
+		g.deliveries[i], g.running[i] = delivery, 1
+		if g.repeatDelay > 0 {
+			g.sent[i] = &sentPart{table: &c.tokens}
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		g.cancelOriginal[i] = cancel
 		go func() {
-			delivery := partDelivery(d, p, g.allowed, due[i])
+			defer cancel()
+			defer g.sent[i].end()
 			delivery.OnPartial = func(result leaf.DeliveryResult) {
 				if result.Answered >= result.RequiredShards {
 					result.Merged = gateway.MergeReplies(delivery, result)
 				}
 				g.events <- partEvent{part: i, result: result}
 			}
-			result, rest := c.deliverPart(ctx, delivery, p, dataCentres, offers)
+			result, rest := c.deliverPart(ctx, delivery, p, g.sent[i], dataCentres, offers)
 			if rest != nil {
 				g.events <- partEvent{part: i, result: result}
 				ask := time.NewTimer(askRestAfterMs.Duration())
@@ -111,11 +147,20 @@
 		defer t.Stop()
 		late = t.C
 	}
+	repeat := time.NewTimer(time.Hour)
+	defer repeat.Stop()
+	checkAt := g.setRepeatTimer(repeat)
 	isLate, askedRest := false, false
 	for {
 		select {
 		case e := <-g.events:
-			g.results[e.part], g.reported[e.part], g.final[e.part] = e.result, true, e.final
+			if e.final && !e.repeat && e.result.Merged == nil && g.repeatDelay > 0 {
+				g.repeatParts(0)
+			}
+			g.handlePart(e)
+		case <-repeat.C:
+			g.repeatParts(g.client.opts.Clock.Now() - checkAt)
+			checkAt = g.setRepeatTimer(repeat)
 		case <-late:
 			isLate = true
 		}
--- a/collector/server.go
+++ b/collector/server.go
@@ -13,6 +13,7 @@
 	"samphirepass/logs"
 	"samphirepass/metrics"
 	"samphirepass/peer"
+	"samphirepass/policy"
 )
 
 // maxInFlight bounds the memory of the requests that a collector works on at once: each holds about 0.4 MB for 40 shards.
@@ -53,10 +54,46 @@
 // Register adds the handlers for collect requests to h.
 func (s *Server) Register(h *peer.Handlers) {
 	peer.HandleCall(h, kindCollect, s.collect)
+	peer.HandleCall(h, kindCollectLimited, s.collectLimited)
 	peer.HandleCall(h, kindCollectRest, s.collectRest)
 	peer.HandleNotify(h, kindRelease, s.release)
 }
 
+// collectLimited is collect for a request whose entry delivers it again if this collector shows no sign of life.
+func (s *Server) collectLimited(ctx context.Context, req collectRequest) (collectReply, error) {
+	if req.Token == 0 {
+		req.Delivery.Route.MaxAttempts = 1
+	} else {
+		req.Delivery.FurtherAttempts = func(ctx context.Context) bool {
+			var reply furtherReply
+			err := peer.CallBack(ctx, kindFurther, furtherRequest{Token: req.Token}, &reply)
+			return err == nil && reply.Granted
+		}
+	}
+	if interval := policy.SignOfLifeInterval(req.Delivery.Route.LatencyTargetMs); interval > 0 {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go showLife(ctx, interval)
+	}
+	return s.collect(ctx, req)
+}
+
+// showLife sends heartbeats to the entry that waits for a request until ctx ends.
+func showLife(ctx context.Context, interval samphirepass.Millis) {
+	t := time.NewTicker(interval.Duration())
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			if peer.SendHeartbeat(ctx) != nil {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // collect delivers a request. If fewer shards have answered in time than are due, it returns the answers so far while the delivery goes
 // on: together with those of other collectors they may be enough.
 func (s *Server) collect(ctx context.Context, req collectRequest) (collectReply, error) {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -104,6 +104,7 @@
 	g.collectorClient = collector.NewClient(collector.Options{
 		VM: cfg.VM, Local: g.deliverer, Registry: g.registry, Peers: g.peers, Offers: g.follower.Offers, Shards: g.shards, DataCentre: cfg.DataCentre,
 		Address: cfg.CollectAddress(), Collecting: g.follower.IsCollector, Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
+		Metrics: g.metrics,
 	})
 	g.dispatcher = gateway.NewDispatcher(gateway.Options{
 		Quotas:    g.newLimiter(cfg.Quota != nil),
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -195,7 +195,7 @@
 	if s.inFlight > 0 {
 		return
 	}
-	if f.suspected() {
+	if f.suspected() || f.awaitsPermission(shard) {
 		f.hold(shard, takeBudget)
 		return
 	}
@@ -208,7 +208,7 @@
 // startExtraAttempt starts another attempt if takeBudget grants one. A nil takeBudget means that the attempt replaces one
 // that caused no load: it needs no budget and does not count as extra.
 func (f *fanOut) startExtraAttempt(shard int, takeBudget func() bool) bool {
-	if leaves := f.untriedLeaves(shard); f.sendsEnded || len(leaves) == 0 || f.pool.minWaitMs(leaves) > 0 || (takeBudget != nil && !takeBudget()) {
+	if leaves := f.untriedLeaves(shard); f.sendsEnded || f.forbidden(shard) || len(leaves) == 0 || f.pool.minWaitMs(leaves) > 0 || (takeBudget != nil && !takeBudget()) {
 		return false
 	}
 	if !f.startAttempt(shard) {
@@ -280,7 +280,7 @@
 // canHedge reports whether a shard waits for a single attempt and may have another one.
 func (f *fanOut) canHedge(shard int) bool {
 	s := &f.shards[shard]
-	return !f.atMostOnce && !f.suspected() && !s.closed && s.inFlight == 1 && s.countedAttempts < f.fanOutOptions.maxAttempts && len(f.untriedLeaves(shard)) > 0
+	return !f.atMostOnce && !f.suspected() && !f.permission.blocks() && !s.closed && s.inFlight == 1 && s.countedAttempts < f.fanOutOptions.maxAttempts && len(f.untriedLeaves(shard)) > 0
 }
 
 func (f *fanOut) hedgeLateShards() {
@@ -293,6 +293,9 @@
 		if !f.canHedge(i) || now-f.shards[i].hedgeFrom+timerToleranceMs < delay {
 			continue
 		}
+		if f.awaitsPermission(i) {
+			return
+		}
 		if !f.startExtraAttempt(i, f.budgets[i].TakeHedge) {
 			// Without budget the shard is checked again after another delay.
 			f.shards[i].hedgeFrom = now
--- a/leaf/crashes.go
+++ b/leaf/crashes.go
@@ -53,13 +53,16 @@
 
 // startHeld starts the attempt that was held on a shard, or closes the shard if there is none.
 func (f *fanOut) startHeld(shard int) {
+	if f.awaitsPermission(shard) {
+		return
+	}
 	s := &f.shards[shard]
 	s.held = false
 	started := false
 	switch {
 	case f.ctx.Err() != nil:
 	case len(s.tried) == 0:
-		started = f.startAttempt(shard)
+		started = (!f.extra || f.budgets[shard].TakeRetry()) && f.startAttempt(shard)
 	default:
 		started = f.startExtraAttempt(shard, s.takeBudget)
 	}
@@ -72,7 +75,7 @@
 // startAlone starts one held attempt if none is in flight.
 func (f *fanOut) startAlone() {
 	for i := range f.shards {
-		if !f.suspected() || f.attemptsInFlight() > 0 {
+		if !f.suspected() || f.attemptsInFlight() > 0 || f.permission.pending() {
 			return
 		}
 		if f.shards[i].held {
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -47,6 +47,11 @@
 	OnPartial func(DeliveryResult) `codec:"-"`
 	// SendsEnd is closed when attempts that have not been sent are withdrawn and no more are started; nil means never.
 	SendsEnd <-chan struct{} `codec:"-"`
+	// FurtherAttempts is called at most once, before a shard gets more than one attempt that may cause load, and reports whether it may;
+	// nil means that it may.
+	FurtherAttempts func(context.Context) bool `codec:"-"`
+	// Extra is set if other attempts on the shards were made before, so that all attempts draw on the retry budget.
+	Extra bool
 }
 
 // RequiredShards returns the least number of shards for an answer.
@@ -229,7 +234,7 @@
 		maxAttempts: max(delivery.Route.MaxAttempts, 1), atMostOnce: delivery.Route.Kind == samphirepass.AtMostOnce,
 		partialAfter: delivery.PartialAfterMs, grace: delivery.GraceMs, requiredShards: delivery.RequiredShards(), dueShards: delivery.dueShards(),
 		cancelDelay: cancelDelayMs, endedCancelDelay: endedCancelDelayMs, probe: delivery.Probe,
-		sendsEnd: delivery.SendsEnd,
+		sendsEnd: delivery.SendsEnd, extra: delivery.Extra,
 	}
 	opts.expected = expectedLatency(opts.hedger, delivery.Route)
 	result := DeliveryResult{RequiredShards: opts.requiredShards}
@@ -251,6 +256,7 @@
 		}
 	}
 	f := newFanOut(ctx, d.fanOutDeps, opts, leaves, began)
+	f.permission.ask = delivery.FurtherAttempts
 	if delivery.OnPartial != nil {
 		f.onPartial = func() { delivery.OnPartial(f.deliveryResult(delivery, result)) }
 	}
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -117,6 +117,8 @@
 	probe bool
 	// sendsEnd is closed when unsent attempts are withdrawn and no more are started; it may be nil.
 	sendsEnd <-chan struct{}
+	// extra makes first attempts draw on the budgets like retries.
+	extra bool
 	// progress is called with the fraction of shards still open; it may be nil.
 	progress func(open float64)
 }
@@ -161,6 +163,7 @@
 	alone bool
 	// sendsEnded is set once sendsEnd is closed.
 	sendsEnded bool
+	permission permission
 	// condemned is set once a leaf has crashed under an attempt that was alone: there are no further attempts.
 	condemned bool
 	// failure is the last reply of a leaf that ran an attempt and reported a failure.
@@ -187,7 +190,9 @@
 		f.lastErr = errLimited
 		return
 	}
-	f.recordPrimaries()
+	if !f.extra {
+		f.recordPrimaries()
+	}
 	for _, i := range f.skip {
 		f.shards[i].skipped = len(f.leaves[i]) > 0
 	}
@@ -213,6 +218,8 @@
 				f.hedgeLateShards()
 			}
 			f.resetTimer()
+		case granted := <-f.permission.reply:
+			f.handlePermission(granted)
 		case <-f.sendsEnd:
 			f.endSends()
 		case <-f.ctx.Done():
@@ -230,8 +237,11 @@
 		f.hold(shard, nil)
 		return
 	}
-	if f.startAttempt(shard) {
+	if (!f.extra || f.budgets[shard].TakeRetry()) && f.startAttempt(shard) {
 		f.openShards++
+		if f.extra {
+			f.extraAttempts++
+		}
 		return
 	}
 	f.lastErr = errLimited
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -40,6 +40,7 @@
 	extra    *prometheus.CounterVec
 	runs     *prometheus.CounterVec
 	stages   *prometheus.HistogramVec
+	repeats  *prometheus.CounterVec
 
 	// totalAttempts and totalExtra are the sums of attempts and extra over all services.
 	totalAttempts, totalExtra atomic.Int64
@@ -76,7 +77,10 @@
 		Name: "samphirepass_collect_stage_seconds", Help: "Time of collected requests by stage.",
 		Buckets: []float64{.001, .002, .005, .01, .02, .03, .045, .06, .1, .15, .25, .5, 1},
 	}, []string{"stage"})
-	m.registry.MustRegister(m.queries, m.requests, m.attempts, m.extra, m.runs, m.stages)
+	m.repeats = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "samphirepass_parts_repeated_total", Help: "Parts of requests that were delivered again, by outcome.",
+	}, []string{"outcome"})
+	m.registry.MustRegister(m.queries, m.requests, m.attempts, m.extra, m.runs, m.stages, m.repeats)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -119,6 +123,24 @@
 	return m.totalAttempts.Load(), m.totalExtra.Load()
 }
 
+// RepeatOutcome is how the second delivery of a part ended, as a metrics label.
+type RepeatOutcome string
+
+// Outcomes of parts that were delivered again.
+const (
+	// RepeatAnswered means that the second delivery answered first.
+	RepeatAnswered RepeatOutcome = "answered"
+	// RepeatOvertaken means that the first one did after all.
+	RepeatOvertaken RepeatOutcome = "overtaken"
+	// RepeatFailed means that neither did.
+	RepeatFailed RepeatOutcome = "failed"
+)
+
+// PartRepeated counts a part that was delivered again.
+func (m *Metrics) PartRepeated(outcome RepeatOutcome) {
+	m.repeats.WithLabelValues(string(outcome)).Inc()
+}
+
 // CollectStage is a stage of a collected request, as a metrics label.
 type CollectStage string
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -30,6 +30,8 @@
 type Client struct {
 	address string
 	http    *http.Client
+	// handlers answer the calls that the other end makes over the connection.
+	handlers *Handlers
 
 	mu   sync.Mutex
 	conn *conn
@@ -49,7 +51,7 @@
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(localAddr, 0))
 	}
 	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHandshakeBytes}
-	return &Client{address: address, http: &http.Client{Transport: transport}}
+	return &Client{address: address, http: &http.Client{Transport: transport}, handlers: NewHandlers()}
 }
 
 // Address returns the address of the other process.
@@ -169,8 +171,7 @@
 		_ = ws.CloseNow()
 		return
 	}
-	// Only the client end of a connection sends requests and one-way messages, so it needs no handlers.
-	c.conn = newClientConn(ws, NewHandlers())
+	c.conn = newClientConn(ws, c.handlers)
 	go c.conn.run(context.Background())
 }
 
@@ -189,8 +190,23 @@
 	// LocalAddr is the local IP address of the connections, if valid.
 	LocalAddr netip.Addr
 
-	mu      sync.Mutex
-	clients map[string]*Client
+	mu       sync.Mutex
+	clients  map[string]*Client
+	handlers *Handlers
+}
+
+// Handlers returns the handlers for the calls that other ends make over the connections of the pool.
+func (p *Pool) Handlers() *Handlers {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.handlersLocked()
+}
+
+func (p *Pool) handlersLocked() *Handlers {
+	if p.handlers == nil {
+		p.handlers = NewHandlers()
+	}
+	return p.handlers
 }
 
 // Get returns the client for address and creates it on first use.
@@ -203,6 +219,7 @@
 	c := p.clients[address]
 	if c == nil {
 		c = NewClient(address, p.LocalAddr)
+		c.handlers = p.handlersLocked()
 		p.clients[address] = c
 	}
 	return c
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -285,7 +285,8 @@
 		ctx, cancel = context.WithTimeout(ctx, (f.TimeoutMs - age).Duration())
 		defer cancel()
 	}
-	body, err := c.handlers.call(context.WithValue(ctx, ageKey{}, age), f.Kind, f.Body)
+	ctx = context.WithValue(context.WithValue(ctx, ageKey{}, age), connKey{}, c)
+	body, err := c.handlers.call(ctx, f.Kind, f.Body)
 	reply.Body = body
 	if err != nil {
 		reply.Refusal = samphirepass.AsRefusal(err)
