--- a/collector/repeat.go
+++ b/collector/repeat.go
@@ -178,7 +178,7 @@
 // repeatPart delivers a part again with one attempt on each shard, through other collectors than the one that had it. all are the shards of
 // the whole request.
 func (c *Client) repeatPart(ctx context.Context, d leaf.Delivery, all []samphirepass.Service, p part, failed string, dataCentres [][]samphirepass.DataCentre, offers []directory.CollectorOffer) leaf.DeliveryResult {
-	d.Route.MaxAttempts, d.Extra, d.OnPartial = 1, true, nil
+	d.Route.MaxAttempts, d.Extra, d.OnPartial, d.FurtherAttempts = 1, true, nil, noFurtherAttempts
 	offers = slices.DeleteFunc(slices.Clone(offers), func(o directory.CollectorOffer) bool { return o.Address == failed })
 	partDataCentres := make([][]samphirepass.DataCentre, len(p.Shards))
 	for i, shard := range p.Shards {
@@ -187,6 +187,9 @@
 	return c.gatherParts(ctx, d, c.spreadAgain(p, all, offers), partDataCentres, offers)
 }
 
+// noFurtherAttempts is a leaf.Delivery.FurtherAttempts that refuses.
+func noFurtherAttempts(context.Context) bool { return false }
+
 // spreadAgain divides a part among the other collectors of its data centre as later requests will be, so that they have connections to the
 // leaves. The shards of the result are indices into those of the part.
 func (c *Client) spreadAgain(p part, all []samphirepass.Service, offers []directory.CollectorOffer) []part {
--- a/collector/server.go
+++ b/collector/server.go
@@ -62,7 +62,7 @@
 // collectLimited is collect for a request whose entry delivers it again if this collector shows no sign of life.
 func (s *Server) collectLimited(ctx context.Context, req collectRequest) (collectReply, error) {
 	if req.Token == 0 {
-		req.Delivery.Route.MaxAttempts = 1
+		req.Delivery.Route.MaxAttempts, req.Delivery.FurtherAttempts = 1, noFurtherAttempts
 	} else {
 		req.Delivery.FurtherAttempts = func(ctx context.Context) bool {
 			var reply furtherReply
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -24,6 +24,7 @@
 	}
 	s.tried = append(s.tried, reg.Leaf)
 	s.countedAttempts++
+	s.sentAttempts++
 	s.inFlight++
 	s.startedAt = f.clock.Now()
 	s.hedgeFrom = s.startedAt
@@ -106,6 +107,9 @@
 func (f *fanOut) handleResult(r attemptResult) {
 	s := &f.shards[r.shard]
 	s.inFlight--
+	if r.notSent() {
+		s.sentAttempts--
+	}
 	s.permits = slices.DeleteFunc(s.permits, func(p *samphirepass.SendPermit) bool { return p == r.permit })
 	f.noteOutcome(r)
 	if s.closed {
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -47,8 +47,8 @@
 	OnPartial func(DeliveryResult) `codec:"-"`
 	// SendsEnd is closed when attempts that have not been sent are withdrawn and no more are started; nil means never.
 	SendsEnd <-chan struct{} `codec:"-"`
-	// FurtherAttempts is called at most once, before a shard gets more than one attempt that may cause load, and reports whether it may;
-	// nil means that it may.
+	// FurtherAttempts is called at most once, before any shard gets more than one attempt that its leaves may have seen, and reports
+	// whether shards may; nil means that they may.
 	FurtherAttempts func(context.Context) bool `codec:"-"`
 	// Extra is set if other attempts on the shards were made before, so that all attempts draw on the retry budget.
 	Extra bool
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -43,7 +43,9 @@
 	tried []samphirepass.Leaf
 	// countedAttempts counts the attempts that may have caused a leaf load.
 	countedAttempts int
-	inFlight        int
+	// sentAttempts counts the attempts of which the leaf may have seen anything.
+	sentAttempts int
+	inFlight     int
 	// startedAt is the start of the latest attempt.
 	startedAt samphirepass.Millis
 	// hedgeFrom is the time at which the hedge delay starts.
--- a/leaf/permission.go
+++ b/leaf/permission.go
@@ -1,6 +1,11 @@
 package leaf
 
-import "context"
+import (
+	"context"
+	"errors"
+
+	"samphirepass"
+)
 
 // permissionState is the progress of asking for further attempts.
 type permissionState string
@@ -12,7 +17,7 @@
 	permissionDenied  permissionState = "denied"
 )
 
-// permission decides whether the shards of one request may get more than one attempt that may cause load.
+// permission decides whether the shards of one request may get more than one attempt that their leaves may have seen.
 type permission struct {
 	// ask is Delivery.FurtherAttempts; nil means that they may.
 	ask   func(context.Context) bool
@@ -28,11 +33,17 @@
 	return p.state == permissionAsked || p.state == permissionDenied
 }
 
+// notSent reports whether the leaf certainly saw nothing of an attempt.
+func (r attemptResult) notSent() bool {
+	var failure *samphirepass.AttemptError
+	return errors.As(r.err, &failure) && failure.Kind == samphirepass.FailureNotSent
+}
+
 // awaitsPermission reports whether the next attempt on a shard must wait for an answer, and asks if nobody has yet. An attempt in place of
-// ones that caused no load needs no permission.
+// ones that were not sent needs no permission. One in place of a leaf that is silent does: the leaf may have received the attempt.
 func (f *fanOut) awaitsPermission(shard int) bool {
 	p, s := &f.permission, &f.shards[shard]
-	if p.ask == nil || s.countedAttempts == 0 || s.countedAttempts >= f.fanOutOptions.maxAttempts || f.sendsEnded || f.ctx.Err() != nil || len(f.untriedLeaves(shard)) == 0 {
+	if p.ask == nil || s.sentAttempts == 0 || s.countedAttempts >= f.fanOutOptions.maxAttempts || f.sendsEnded || f.ctx.Err() != nil || len(f.untriedLeaves(shard)) == 0 {
 		return false
 	}
 	if p.state == permissionUnasked {
@@ -46,7 +57,7 @@
 
 // forbidden reports whether a shard may get no further attempt.
 func (f *fanOut) forbidden(shard int) bool {
-	return f.permission.blocks() && f.shards[shard].countedAttempts > 0
+	return f.permission.blocks() && f.shards[shard].sentAttempts > 0
 }
 
 // handlePermission starts the attempts that waited for permission, or gives them up.
--- a/policy/repeat.go
+++ b/policy/repeat.go
@@ -127,13 +127,19 @@
 }
 
 // NextRepeatCheck returns the time until a part may be found dead, and false if there is no part to look at. A check that led to nothing is
-// made again after the margin.
+// made again after the margin, one of a part that was not sent yet after the whole delay.
 func NextRepeatCheck(parts []SentPart, delay samphirepass.Millis) (samphirepass.Millis, bool) {
 	next, ok := delay, false
 	for _, p := range parts {
-		if p.Pending && p.Repeatable {
-			next, ok = min(next, max(delay-p.SilentMs, repeatMarginMs)), true
+		switch {
+		case !p.Pending:
+			continue
+		case p.Repeatable && p.SilentMs >= delay:
+			next = min(next, repeatMarginMs)
+		case p.Repeatable:
+			next = min(next, delay-p.SilentMs)
 		}
+		ok = true
 	}
 	return next, ok
 }
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -22,8 +22,22 @@
 	LinkCut Link = "cut"
 	// LinkSilent drops all data, but keeps connections open and accepts new ones.
 	LinkSilent Link = "silent"
+	// LinkHeld keeps all data until the link changes, as if the target had frozen.
+	LinkHeld Link = "held"
 )
 
+// Direction is one direction of a relayed connection.
+type Direction string
+
+// The directions.
+const (
+	ToTarget Direction = "to-target"
+	ToSource Direction = "to-source"
+)
+
+// heldPollMs is the interval at which held data looks whether its link has changed.
+const heldPollMs samphirepass.Millis = 1
+
 // copyBytes is the buffer size for one direction of a connection.
 const copyBytes = 32 << 10
 
@@ -37,6 +51,8 @@
 	links       map[netip.Addr]Link
 	defaultLink Link
 	delay       samphirepass.Millis
+	// dropped marks the directions in which data is dropped.
+	dropped map[Direction]bool
 	conns       map[*relayedConn]bool
 	// bytes is the number of bytes read in both directions, including those dropped.
 	bytes int64
@@ -47,6 +63,8 @@
 	from              netip.Addr
 	inbound, outbound net.Conn
 	silenced          bool
+	// deaf marks the directions in which data was dropped.
+	deaf map[Direction]bool
 }
 
 // NewRelay starts a relay that listens on address and forwards connections to target.
@@ -55,7 +73,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for relay: %w", err)
 	}
-	r := &Relay{listener: l, target: target, links: map[netip.Addr]Link{}, defaultLink: LinkPass, conns: map[*relayedConn]bool{}}
+	r := &Relay{listener: l, target: target, links: map[netip.Addr]Link{}, defaultLink: LinkPass, dropped: map[Direction]bool{}, conns: map[*relayedConn]bool{}}
 	go r.accept()
 	return r, nil
 }
@@ -95,6 +113,13 @@
 	r.delay = d
 }
 
+// SetDropped sets whether data is dropped in one direction. A connection of which data was dropped stays silent in that direction.
+func (r *Relay) SetDropped(d Direction, dropped bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropped[d] = dropped
+}
+
 // SilenceOpen permanently drops all further data on the connections open now. New connections are not affected.
 func (r *Relay) SilenceOpen() {
 	r.mu.Lock()
@@ -150,7 +175,7 @@
 
 func (r *Relay) serve(inbound net.Conn) {
 	from := inbound.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
-	c := &relayedConn{from: from, inbound: inbound}
+	c := &relayedConn{from: from, inbound: inbound, deaf: map[Direction]bool{}}
 	defer c.close()
 	r.mu.Lock()
 	cut := r.link(from) == LinkCut
@@ -174,8 +199,8 @@
 		return
 	}
 	done := make(chan struct{}, 2)
-	go r.copy(c, inbound, outbound, done)
-	go r.copy(c, outbound, inbound, done)
+	go r.copy(c, inbound, outbound, ToTarget, done)
+	go r.copy(c, outbound, inbound, ToSource, done)
 	<-done
 	c.close()
 	<-done
@@ -185,7 +210,7 @@
 }
 
 // copy forwards one direction until the connection closes. It discards data read from a silenced connection.
-func (r *Relay) copy(c *relayedConn, from io.Reader, to io.Writer, done chan<- struct{}) {
+func (r *Relay) copy(c *relayedConn, from io.Reader, to io.Writer, direction Direction, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buffer := make([]byte, copyBytes)
 	for {
@@ -193,10 +218,12 @@
 		if err != nil {
 			return
 		}
+		r.waitWhileHeld(c)
 		r.mu.Lock()
 		// Dropped bytes of a TCP stream cannot be sent again, so the connection stays silent when the link is restored.
 		c.silenced = c.silenced || r.link(c.from) == LinkSilent
-		silenced, delay := c.silenced, r.delay
+		c.deaf[direction] = c.deaf[direction] || r.dropped[direction]
+		silenced, delay := c.silenced || c.deaf[direction], r.delay
 		r.bytes += int64(n)
 		r.mu.Unlock()
 		if silenced {
@@ -210,3 +237,16 @@
 		}
 	}
 }
+
+// waitWhileHeld returns once the link of a connection is not held.
+func (r *Relay) waitWhileHeld(c *relayedConn) {
+	for {
+		r.mu.Lock()
+		held := r.link(c.from) == LinkHeld
+		r.mu.Unlock()
+		if !held {
+			return
+		}
+		time.Sleep(heldPollMs.Duration())
+	}
+}
