collector: Test that collectors which hedge late are not taken for dead

With leaves of 95 ms the hedge delay rises to 142 ms, later than a part may be repeated; collectors show life with heartbeats meanwhile.

--- a/collector/repeat_test.go
+++ b/collector/repeat_test.go
@@ -110,8 +110,7 @@
 type fleetMember struct {
 	relay  *standin.Relay
 	frozen atomic.Bool
-	// retryBudget is the slack of its budgets.
-	end func()
+	end    func()
 }
 
 // freeze stops a collector and all that comes and goes, or lets it go on.
@@ -318,6 +317,27 @@
 	}
 }
 
+// TestProofLateHedgeIsNoSilence guards against repeats of parts whose collectors do not hedge by the usual time, as all leaves of the route are
+// slow: then they do not ask for the token either.
+func TestProofLateHedgeIsNoSilence(t *testing.T) {
+	var slow atomic.Bool
+	f := startFleet(t, 100, nil, func(_ samphirepass.Leaf, a samphirepass.Attempt) (time.Duration, samphirepass.FailureKind) {
+		if slow.Load() && strings.HasSuffix(string(a.Service), "-1") {
+			return 200 * time.Millisecond, ""
+		}
+		return 95 * time.Millisecond, ""
+	})
+	for range 40 {
+		require.Equal(t, fleetShards, f.client.Deliver(t.Context(), f.delivery()).Answered)
+	}
+	slow.Store(true)
+	for range 3 {
+		require.Equal(t, fleetShards, f.client.Deliver(t.Context(), f.delivery()).Answered)
+	}
+	require.Equal(t, "0", f.repeats(metrics.RepeatAnswered))
+	require.Equal(t, "0", f.repeats(metrics.RepeatOvertaken))
+}
+
 // TestProofOverloadClosesRepeats guards against repeats that double the load of leaves once the retry budget is spent, and against repeats by an
 // entry that is cut off itself.
 func TestProofOverloadClosesRepeats(t *testing.T) {
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -53,7 +53,7 @@
 	delay       samphirepass.Millis
 	// dropped marks the directions in which data is dropped.
 	dropped map[Direction]bool
-	conns       map[*relayedConn]bool
+	conns   map[*relayedConn]bool
 	// bytes is the number of bytes read in both directions, including those dropped.
 	bytes int64
 }
