--- a/policy/repeat.go
+++ b/policy/repeat.go
@@ -20,6 +20,9 @@
 	minRepeatTimeMs samphirepass.Millis = 10
 	// maxSilentShare is the share of a request's parts above which the entry rather than its collectors seems to be cut off or overloaded.
 	maxSilentShare = 1.0 / 3
+	// silentDelayShare is the share of the delay from which a collector counts as silent for that: the parts of a request are not all sent
+	// at once, and the first one must not be repeated before the others have been silent as long. It is above the interval of signs of life.
+	silentDelayShare = 0.75
 )
 
 // RepeatDelay returns the time without a frame of its collector after which a part of a route may be repeated.
@@ -109,18 +112,17 @@
 	if c.LateMs >= repeatLatenessMs || c.RemainingMs < minRepeatTimeMs {
 		return nil
 	}
-	dead := 0
+	silent := 0
 	var repeat []int
 	for i, p := range parts {
-		if !p.looksDead(c.DelayMs) {
-			continue
+		if p.looksDead(silentDelayShare * c.DelayMs) {
+			silent++
 		}
-		dead++
-		if p.Repeatable {
+		if p.Repeatable && p.looksDead(c.DelayMs) {
 			repeat = append(repeat, i)
 		}
 	}
-	if float64(dead) > maxSilentShare*float64(len(parts)) {
+	if float64(silent) > maxSilentShare*float64(len(parts)) {
 		return nil
 	}
 	return repeat
--- a/policy/repeat_test.go
+++ b/policy/repeat_test.go
@@ -19,6 +19,7 @@
 	answered := policy.SentPart{}
 	slow := policy.SentPart{Pending: true, Repeatable: true, SilentMs: 30}
 	silent := policy.SentPart{Pending: true, Repeatable: true, SilentMs: 82}
+	sentLater := policy.SentPart{Pending: true, Repeatable: true, SilentMs: 62}
 	lost := policy.SentPart{Pending: true, Repeatable: true, Lost: true, SilentMs: 3}
 	hedging := policy.SentPart{Pending: true, SilentMs: 90}
 	healthy := policy.RepeatConditions{DelayMs: delay, RemainingMs: 900}
@@ -32,6 +33,7 @@
 		"all leaves are slow":                              {[]policy.SentPart{slow, slow, slow}, healthy, nil},
 		"three of nine collectors are cut off":             {[]policy.SentPart{silent, silent, lost, slow, slow, slow, answered, answered, answered}, healthy, []int{0, 1, 2}},
 		"four of nine: this entry is cut off":              {[]policy.SentPart{silent, silent, lost, silent, slow, slow, answered, answered, answered}, healthy, nil},
+		"four of nine, sent 20 ms apart":                   {[]policy.SentPart{silent, sentLater, sentLater, sentLater, slow, slow, answered, answered, answered}, healthy, nil},
 		"one of two tells nothing":                         {[]policy.SentPart{silent, slow}, healthy, nil},
 		"the only one tells nothing":                       {[]policy.SentPart{lost}, healthy, nil},
 		"the collector took the token and froze":           {[]policy.SentPart{hedging, answered, answered}, healthy, nil},
