--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -28,6 +28,7 @@
 	}
 	s.tried = append(s.tried, reg.Leaf)
 	s.countedAttempts++
+	s.sentAttempts++
 	s.inFlight++
 	s.startedAt = f.clock.Now()
 	s.hedgeFrom = s.startedAt
@@ -115,6 +116,9 @@
 func (f *fanOut) handleResult(r attemptResult) {
 	s := &f.shards[r.shard]
 	s.inFlight--
+	if r.notSent() {
+		s.sentAttempts--
+	}
 	s.permits = slices.DeleteFunc(s.permits, func(p *samphirepass.SendPermit) bool { return p == r.permit })
 	f.noteOutcome(r)
 	if s.closed {
@@ -204,7 +208,7 @@
 	if s.inFlight > 0 {
 		return
 	}
-	if f.suspected() {
+	if f.suspected() || f.awaitsPermission(shard) {
 		f.hold(shard, takeBudget)
 		return
 	}
@@ -218,7 +222,7 @@
 // that caused no load: it needs no budget and does not count as extra.
 func (f *fanOut) startExtraAttempt(shard int, takeBudget func() bool) bool {
 	leaves := f.untriedLeaves(shard)
-	if f.sendsEnded || len(leaves) == 0 || f.pool.minWaitMs(leaves) > 0 || !f.takeRetryToken(shard, leaves) {
+	if f.sendsEnded || f.forbidden(shard) || len(leaves) == 0 || f.pool.minWaitMs(leaves) > 0 || !f.takeRetryToken(shard, leaves) {
 		return false
 	}
 	return f.startExtraAttemptOn(shard, leaves, takeBudget)
@@ -228,7 +232,7 @@
 // have no answer otherwise.
 func (f *fanOut) startHedge(shard int) bool {
 	leaves, _ := f.pool.splitCold(f.untriedLeaves(shard))
-	if f.sendsEnded || len(leaves) == 0 || f.pool.minWaitMs(leaves) > 0 {
+	if f.sendsEnded || f.forbidden(shard) || len(leaves) == 0 || f.pool.minWaitMs(leaves) > 0 {
 		return false
 	}
 	return f.startExtraAttemptOn(shard, leaves, f.budgets[shard].TakeHedge)
@@ -309,7 +313,7 @@
 // canHedge reports whether a shard waits for a single attempt and may have another one.
 func (f *fanOut) canHedge(shard int) bool {
 	s := &f.shards[shard]
-	return !f.atMostOnce && !f.suspected() && !s.closed && s.inFlight == 1 && s.countedAttempts < f.fanOutOptions.maxAttempts && len(f.untriedLeaves(shard)) > 0
+	return !f.atMostOnce && !f.suspected() && !f.permission.blocks() && !s.closed && s.inFlight == 1 && s.countedAttempts < f.fanOutOptions.maxAttempts && len(f.untriedLeaves(shard)) > 0
 }
 
 func (f *fanOut) hedgeLateShards() {
@@ -322,6 +326,9 @@
 		if !f.canHedge(i) || now-f.shards[i].hedgeFrom+timerToleranceMs < delay {
 			continue
 		}
+		if f.awaitsPermission(i) {
+			return
+		}
 		if !f.startHedge(i) {
 			// Without budget the shard is checked again after another delay.
 			f.shards[i].hedgeFrom = now
