--- a/clock_other.go
+++ b/clock_other.go
@@ -2,5 +2,5 @@
 
 package samphirepass
 
-// Boot returns the monotonic time, which stands still while the machine is suspended: this system has no clock for leases.
+// Boot returns the monotonic time, which does not advance while the machine is suspended: this system has no clock for leases.
 func (c SystemClock) Boot() Millis { return c.Now() }
--- a/collector/slots_test.go
+++ b/collector/slots_test.go
@@ -82,7 +82,7 @@
 	require.Zero(t, s.waiting.Len())
 }
 
-// stoppedClock stands still.
+// stoppedClock is a clock that tests set by hand.
 type stoppedClock struct{ now samphirepass.Millis }
 
 func (c *stoppedClock) Now() samphirepass.Millis  { return c.now }
--- a/directory/disk_cache.go
+++ b/directory/disk_cache.go
@@ -74,7 +74,7 @@
 	}
 	for _, a := range state.Leaves {
 		// The age is capped, so that each leaf has time for a heartbeat before it counts as silent.
-		// A warm-up counts from now, as it is not known how long this process was down; a limit is heard of again with the next answer.
+		// A warm-up counts from now, as it is not known how long this process was down; the next answer carries the limit again.
 		a.AgeMs, a.Limit = min(a.AgeMs, leaf.SilentMs/2), nil
 		c.registry.ApplyAged(a)
 	}
--- a/leaf/resume.go
+++ b/leaf/resume.go
@@ -28,7 +28,7 @@
 }
 
 // ResumeGuard holds attempts back after the process was frozen or its VM suspended, until it has asked for the evacuations ordered meanwhile.
-// The monotonic clock stands still while a VM is suspended. The wall clock shows that, and a system call confirms that it has not been
+// The monotonic clock does not advance while a VM is suspended. The wall clock shows that, and a system call confirms that it has not been
 // stepped: it would cost too much for each attempt.
 type ResumeGuard struct {
 	clock ResumeClock
--- a/quota/server.go
+++ b/quota/server.go
@@ -31,7 +31,7 @@
 	Log     logs.Logger
 }
 
-// ServerClock are the clocks of a server: the age of the last contact with a leader is measured with the one that stands still while a VM is
+// ServerClock are the clocks of a server: the age of the last contact with a leader is measured with the one that does not advance while a VM is
 // suspended, tokens with the other.
 type ServerClock interface {
 	samphirepass.Clock
--- a/quota/wallet.go
+++ b/quota/wallet.go
@@ -29,7 +29,7 @@
 	failureMs samphirepass.Millis = 1000
 	// allFailedMs is how long nobody is asked after all issuers have failed.
 	allFailedMs samphirepass.Millis = 200
-	// noIssuerRetryMs is told to clients while no issuer answers.
+	// noIssuerRetryMs is the retry delay that refused clients receive while no issuer answers.
 	noIssuerRetryMs samphirepass.Millis = 300
 	// maxRetryMs bounds the time that refused clients are told to wait: it is not known who else comes.
 	maxRetryMs samphirepass.Millis = 2000
