--- /dev/null
+++ b/review/rig/main.go
@@ -0,0 +1,48 @@
+// Command rig runs the scripts of the review: small deployments of separate processes on loopback, with stand-ins of leaves, clients and the
+// operator.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// cases are the runs by name. Each returns whether the rule held.
+var cases = map[string]func(d *deployment, trouble bool) (held bool, err error){
+	"crowd":  crowd,
+	"deadly": deadly,
+	"paths":  paths,
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	if len(args) != 2 || cases[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
+		return 2
+	}
+	r, err := newRecord(args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	r.add("case %s, trouble %t", args[0], trouble)
+	d, err := newDeployment(r)
+	if err != nil {
+		r.say("could not run: %v", err)
+		return 2
+	}
+	defer d.end()
+	held, err := cases[args[0]](d, trouble)
+	switch {
+	case err != nil:
+		r.say("could not run: %v", err)
+		return 2
+	case !held:
+		r.say("the rule was broken")
+		return 1
+	}
+	r.say("the rule held")
+	return 0
+}
