--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -5,8 +5,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// maxRunTime bounds a run.
+const maxRunTime = 110 * time.Second
+
 // cases are the runs by name. Each returns whether the rule held.
 var cases = map[string]struct {
 	zones []zone
@@ -38,6 +44,18 @@
 		return 2
 	}
 	defer d.end()
+	// Whatever ends this process, all others end with it.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(maxRunTime):
+		}
+		r.say("could not run to its end")
+		d.end()
+		os.Exit(2)
+	}()
 	held, err := cases[args[0]].run(d, trouble)
 	switch {
 	case err != nil:
