review: Case 8 counts retries when they reach leaves; case 7 records its counts each second

The rule of case 8 speaks of requests that reach leaves; the script counted them when work began, so one that had waited at a leaf could count as later than it was.

--- a/review/rig/crowd.go
+++ b/review/rig/crowd.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,13 +40,18 @@
 	}
 }
 
-func (t *tally) log(r *record, who string) {
-	r.say("%s: %d served, %d refused, %d failed, %d without an answer", who, t.served.Load(), t.refused.Load(), t.failed.Load(), t.noAnswer.Load())
+// String returns the counts.
+func (t *tally) String() string {
+	return fmt.Sprintf("%d served, %d refused, %d failed, %d without an answer", t.served.Load(), t.refused.Load(), t.failed.Load(), t.noAnswer.Load())
 }
 
+func (t *tally) log(r *record, who string) { r.say("%s: %s", who, t) }
+
 // crowd sends whole requests of legal size of many clients at once to one gateway, and checks that it stays within its memory.
 func crowd(d *deployment, trouble bool) (bool, error) {
-	if err := d.begin(config(1, "safe", shardNames("fixtures", 15)), nil); err != nil {
+	var runs atomic.Int64
+	onRun := func(*leafServer, *http.Request, []byte) { runs.Add(1) }
+	if err := d.begin(config(1, "safe", shardNames("fixtures", 15)), onRun); err != nil {
 		return false, err
 	}
 	m := d.machines[0]
@@ -71,6 +78,7 @@
 		now, most := g.memory()
 		peak = max(peak, most)
 		d.record.say("gateway %s: %.0f MB, at most %.0f MB, running %t", m.ip, now, peak, g.running())
+		d.record.add("so far: crowd %s; ordinary here %s; ordinary elsewhere %s; leaves ran %d parts", &crowded, &here, &ordinary, runs.Load())
 	}
 	wg.Wait()
 	ordinary.log(d.record, "ordinary searches at the other gateways")
--- a/review/rig/deadly.go
+++ b/review/rig/deadly.go
@@ -80,18 +80,24 @@
 		targets = append(targets, fmt.Sprintf("%s-%d", deadlyPath, i+1))
 		logs.logs[targets[i]] = &deadlyLog{late: map[string]bool{}}
 	}
-	onRun := func(l *leafServer, r *http.Request, _ []byte) {
+	onArrive := func(l *leafServer, r *http.Request) {
 		if !isDeadly(r.RequestURI) {
 			return
 		}
 		id := r.Header.Get("Samphirepass-Request-Id")
 		late := logs.arrive(r.RequestURI, id)
-		d.record.add("leaf %s runs %s, request %s, with %s ms left, slowness %d, late %t", l.id, r.RequestURI, id, r.Header.Get("Samphirepass-Deadline-Ms"), l.slowness.Load(), late)
+		d.record.add("%s, request %s, reaches leaf %s with %s ms left, slowness %d, late %t", r.RequestURI, id, l.id, r.Header.Get("Samphirepass-Deadline-Ms"), l.slowness.Load(), late)
+	}
+	onRun := func(l *leafServer, r *http.Request, _ []byte) {
+		if isDeadly(r.RequestURI) {
+			d.record.add("leaf %s runs request %s", l.id, r.Header.Get("Samphirepass-Request-Id"))
+		}
 	}
 	if err := d.begin(config(1, "safe", shardNames("register", 10)), onRun); err != nil {
 		return false, err
 	}
 	for _, l := range d.bookingLeaves() {
+		l.onArrive = onArrive
 		d.makeDeadly(l, logs, trouble)
 	}
 	var wg sync.WaitGroup
@@ -147,7 +153,7 @@
 		n := logs.crash(r.RequestURI)
 		d.record.add("leaf %s crashed under request %s, crash %d", l.id, r.Header.Get("Samphirepass-Request-Id"), n)
 		time.AfterFunc(downTime, func() {
-			next := &leafServer{id: fmt.Sprintf("%s-%d", l.id, n), service: l.service, zone: l.zone, slots: l.slots, queue: l.queue, work: l.work, answerBytes: l.answerBytes, onRun: l.onRun}
+			next := &leafServer{id: fmt.Sprintf("%s-%d", l.id, n), service: l.service, zone: l.zone, slots: l.slots, queue: l.queue, work: l.work, answerBytes: l.answerBytes, onArrive: l.onArrive, onRun: l.onRun}
 			next.slowness.Store(l.slowness.Load())
 			d.makeDeadly(next, logs, trouble)
 			if d.ctx.Err() == nil {
--- a/review/rig/leaf.go
+++ b/review/rig/leaf.go
@@ -39,8 +39,9 @@
 	workOf func(l *leafServer, r *http.Request) (work time.Duration, crashes bool)
 	// onCrash is called when the leaf has crashed.
 	onCrash func(l *leafServer, r *http.Request)
-	// onRun is called when the leaf begins to work on a request.
-	onRun func(l *leafServer, r *http.Request, body []byte)
+	// onArrive is called when a request has reached the leaf, onRun when it begins to work on it.
+	onArrive func(l *leafServer, r *http.Request)
+	onRun    func(l *leafServer, r *http.Request, body []byte)
 }
 
 // addLeaf starts a leaf on a free port and its heartbeats.
@@ -132,6 +133,9 @@
 		w.Header().Set("Samphirepass-Instance-Id", l.id)
 		return
 	}
+	if l.onArrive != nil {
+		l.onArrive(l, r)
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
