--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -93,6 +93,9 @@
 		budgets: map[samphirepass.Service]samphirepass.Budget{}, ending: gateway.NewEnding(clock),
 	}
 	g.pool = leaf.NewPool(clock, routingShares{g})
+	if cfg.ListenIP != "" {
+		g.pool.ConnectFrom(cfg.LocalIP())
+	}
 	quarantine := policy.NewQuarantine(clock)
 	g.follower = directory.NewFollower(directory.FollowerOptions{
 		VM: cfg.VM, DataCentre: cfg.DataCentre, Seeds: cfg.SeedPeers(), Registry: g.registry, Peers: g.peers, Quarantine: quarantine,
--- a/leaf/conn.go
+++ b/leaf/conn.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -40,15 +41,26 @@
 )
 
 // leafDialer opens connections to leaves.
-var leafDialer = &net.Dialer{Timeout: dialTimeoutMs.Duration(), KeepAliveConfig: net.KeepAliveConfig{
-	Enable: true, Idle: keepAliveIdleMs.Duration(), Interval: keepAliveIntervalMs.Duration(), Count: keepAliveProbes,
-}}
+var leafDialer = newLeafDialer(netip.Addr{})
+
+// newLeafDialer returns a dialer whose connections start from an IP address, or from any if it is invalid.
+func newLeafDialer(from netip.Addr) *net.Dialer {
+	d := &net.Dialer{Timeout: dialTimeoutMs.Duration(), KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdleMs.Duration(), Interval: keepAliveIntervalMs.Duration(), Count: keepAliveProbes,
+	}}
+	if from.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(from, 0))
+	}
+	return d
+}
 
 // pooledConn is one of the connections that a connPool may hold; if it is closed, the next request dials.
 // One goroutine uses it at a time. It does not go through http.Transport, so that an attempt needs no switches between goroutines,
 // nothing is ever sent twice, and it is known whether a byte was sent.
 type pooledConn struct {
 	conn net.Conn
+	// dialer opens the connection; nil means leafDialer.
+	dialer *net.Dialer
 	// bounded limits what reader reads from conn.
 	bounded boundedReader
 	reader  *bufio.Reader
@@ -75,7 +87,11 @@
 		return nil
 	}
 	pc.close()
-	c, err := leafDialer.DialContext(ctx, "tcp", address)
+	dialer := pc.dialer
+	if dialer == nil {
+		dialer = leafDialer
+	}
+	c, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return fmt.Errorf("dial leaf: %w", err)
 	}
--- a/leaf/connorder.go
+++ b/leaf/connorder.go
@@ -86,7 +86,7 @@
 		p.idle = p.idle[:n-1]
 	case p.total < p.maxConns:
 		p.total++
-		pc = &pooledConn{}
+		pc = &pooledConn{dialer: p.dialer}
 	default:
 		wait := make(chan *pooledConn, 1)
 		r := policy.FairRequest{Account: a.Forwarded.Account, Rank: a.Rank, Extra: a.Extra, ExpiresAtMs: a.ExpiresAtMs}
--- a/leaf/connpool.go
+++ b/leaf/connpool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 // connPool holds the connections of this entry to one leaf, at most maxConns; it is safe for concurrent use.
 type connPool struct {
 	clock samphirepass.Clock
+	// dialer opens the connections; nil means leafDialer.
+	dialer *net.Dialer
 
 	mu       sync.Mutex
 	maxConns int
@@ -43,7 +46,7 @@
 		p.idle = p.idle[1:]
 		p.total--
 	}
-	for p.total < p.maxConns && p.handToWaiter(&pooledConn{}) {
+	for p.total < p.maxConns && p.handToWaiter(&pooledConn{dialer: p.dialer}) {
 		p.total++
 	}
 }
@@ -78,7 +81,7 @@
 	if p.total < p.maxConns {
 		p.total++
 		p.mu.Unlock()
-		return &pooledConn{}, nil
+		return &pooledConn{dialer: p.dialer}, nil
 	}
 	wait := make(chan *pooledConn, 1)
 	p.waiters = append(p.waiters, wait)
@@ -148,7 +151,7 @@
 	}
 	if p.total < min(p.maxConns, limit) {
 		p.total++
-		return &pooledConn{}
+		return &pooledConn{dialer: p.dialer}
 	}
 	return nil
 }
@@ -161,7 +164,7 @@
 		return nil
 	}
 	p.total++
-	return &pooledConn{}
+	return &pooledConn{dialer: p.dialer}
 }
 
 func (p *connPool) release(pc *pooledConn) {
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -1,6 +1,8 @@
 package leaf
 
 import (
+	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -95,8 +97,9 @@
 type Pool struct {
 	clock  samphirepass.Clock
 	shares Shares
-	// measuresSpeeds is set before the first target is made.
+	// measuresSpeeds and dialer are set before the first target is made.
 	measuresSpeeds bool
+	dialer         *net.Dialer
 
 	// warmUps is nil where cold leaves have no limits.
 	warmUps *warmUps
@@ -117,6 +120,9 @@
 // MeasureSpeeds makes the pool measure how fast leaves answer, for a chooser that uses this; it must be called before the pool is used.
 func (p *Pool) MeasureSpeeds() { p.measuresSpeeds = true }
 
+// ConnectFrom makes connections start from an IP address of this VM; it must be called before the pool is used.
+func (p *Pool) ConnectFrom(ip netip.Addr) { p.dialer = newLeafDialer(ip) }
+
 // target returns the target of a leaf, with the connection limit of the current shares.
 func (p *Pool) target(a samphirepass.Announcement) *target {
 	t := p.lookup(a)
@@ -143,7 +149,7 @@
 		t.conns.setMaxConns(0)
 	}
 	t = &target{
-		address: a.Address, conns: &connPool{clock: p.clock, use: p.use},
+		address: a.Address, conns: &connPool{clock: p.clock, use: p.use, dialer: p.dialer},
 		failureRate: policy.DecayingRate{Weight: failureRateWeight, DecayMs: failureRateDecayMs},
 		refusalRate: policy.DecayingRate{Weight: refusalRateWeight, DecayMs: refusalRateDecayMs},
 	}
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -136,6 +136,19 @@
 	return len(r.conns)
 }
 
+// OpenConnectionsFrom returns the number of open connections from one source address.
+func (r *Relay) OpenConnectionsFrom(from netip.Addr) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for c := range r.conns {
+		if c.from == from {
+			n++
+		}
+	}
+	return n
+}
+
 // BytesRead returns the number of bytes read from both ends of all connections.
 func (r *Relay) BytesRead() int64 {
 	r.mu.Lock()
