--- a/client.go
+++ b/client.go
@@ -77,6 +77,8 @@
 	Notice(resp *http.Response) LeafNotice
 	// Probe returns a request that is answered on any live connection to the leaf, or nil if the protocol has no cheap one.
 	Probe(ctx context.Context, address string) (*http.Request, error)
+	// Ping returns a request that any leaf answers at once and does not run, or nil if the protocol has none.
+	Ping(ctx context.Context, address string) (*http.Request, error)
 }
 
 // RoutingStore stores the operators' routing document and is safe for concurrent use.
--- a/collector.go
+++ b/collector.go
@@ -55,3 +55,11 @@
 	// Shards holds indices into the request's shards, in ascending order.
 	Shards []int
 }
+
+// Relay is a gateway that reaches leaves and delivers the requests of gateways that do not.
+type Relay struct {
+	// Address is its peer address.
+	Address    string
+	DataCentre DataCentre
+	Capacity   Capacity
+}
--- a/collector/client.go
+++ b/collector/client.go
@@ -179,7 +179,7 @@
 		if !ok {
 			break
 		}
-		result, rest, sent := c.collect(ctx, offer.Address, withElapsed(d, c.opts.Clock.Now()-began), track)
+		result, rest, sent := c.collect(ctx, offer.Address, d.WithElapsed(c.opts.Clock.Now()-began), track)
 		if !sent {
 			continue
 		}
@@ -188,7 +188,7 @@
 		}
 		return result, rest
 	}
-	d = withElapsed(d, c.opts.Clock.Now()-began)
+	d = d.WithElapsed(c.opts.Clock.Now()-began)
 	result = c.opts.Local.Deliver(ctx, d)
 	if result.Answered > 0 && result.Answered >= result.RequiredShards {
 		result.Merged = gateway.MergeReplies(d, result)
@@ -197,15 +197,6 @@
 	return result, nil
 }
 
-// withElapsed returns the delivery with the elapsed time subtracted from its deadline and its partial-answer time.
-func withElapsed(d leaf.Delivery, elapsed samphirepass.Millis) leaf.Delivery {
-	d.Request.DeadlineMs = max(d.Request.DeadlineMs-elapsed, 1)
-	if d.PartialAfterMs > 0 {
-		d.PartialAfterMs = max(d.PartialAfterMs-elapsed, 1)
-	}
-	return d
-}
-
 // chooseCollector returns the collector for a part and reports whether there is one. For a part in this entry's own data centre that is
 // not spread it considers only collectors that are much larger than this entry.
 func (c *Client) chooseCollector(d leaf.Delivery, p part, dataCentres [][]samphirepass.DataCentre, offers []directory.CollectorOffer) (directory.CollectorOffer, bool) {
@@ -300,7 +291,7 @@
 		go cancelIfSilent(callCtx, cancel, c.opts.Clock, peerClient, d.PartialAfterMs+d.GraceMs+overdueMarginMs)
 	}
 	began := c.startRequest(address)
-	req := collectRequest{Delivery: withElapsed(d, roundTripMs), KnownShards: c.knownShards(d.Shards), Evacuations: c.opts.Registry.Evacuations()}
+	req := collectRequest{Delivery: d.WithElapsed(roundTripMs), KnownShards: c.knownShards(d.Shards), Evacuations: c.opts.Registry.Evacuations()}
 	// Delivery.Shards already holds the shards.
 	req.Delivery.Route.ShardServices = nil
 	reply, err := c.callCollector(callCtx, address, req, track)
--- a/collector/repeat.go
+++ b/collector/repeat.go
@@ -152,7 +152,7 @@
 		g.cancelRepeat[i] = cancel
 		go func() {
 			defer cancel()
-			result := g.client.repeatPart(ctx, withElapsed(g.deliveries[i], now-g.began), g.delivery.Shards, g.parts[i], address, g.dataCentres, g.offers)
+			result := g.client.repeatPart(ctx, g.deliveries[i].WithElapsed(now-g.began), g.delivery.Shards, g.parts[i], address, g.dataCentres, g.offers)
 			g.events <- partEvent{part: i, result: result, final: true, repeat: true}
 		}()
 	}
--- a/collector/server.go
+++ b/collector/server.go
@@ -127,7 +127,7 @@
 	// The times of the delivery count from its sending.
 	transit := peer.Age(ctx)
 	took := s.clock.Now()
-	d = withElapsed(d, transit+took-arrived)
+	d = d.WithElapsed(transit+took-arrived)
 	// The delivery outlives this call if the answers so far are returned.
 	deliverCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.Request.DeadlineMs.Duration())
 	callEnded := context.AfterFunc(ctx, cancel)
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -22,6 +22,7 @@
 	"samphirepass/platform"
 	"samphirepass/policy"
 	"samphirepass/quota"
+	"samphirepass/relay"
 	"samphirepass/settings"
 	"samphirepass/web"
 )
@@ -58,6 +59,9 @@
 	deliverer       *leaf.Deliverer
 	collectorClient *collector.Client
 	collectorServer *collector.Server
+	path            *leaf.PathMonitor
+	relayClient     *relay.Client
+	relayServer     *relay.Server
 	peerWS          *peer.Server
 	peerHTTP        *web.Server
 	dispatcher      *gateway.Dispatcher
@@ -96,21 +100,24 @@
 	if cfg.ListenIP != "" {
 		g.pool.ConnectFrom(cfg.LocalIP())
 	}
+	g.path = leaf.NewPathMonitor(leaf.PathMonitorOptions{
+		Registry: g.registry, Pool: g.pool, Protocol: platform.LeafProtocol{}, DataCentre: cfg.DataCentre, Clock: clock, OnChange: g.notePathChange,
+	})
 	quarantine := policy.NewQuarantine(clock)
 	g.follower = directory.NewFollower(directory.FollowerOptions{
 		VM: cfg.VM, DataCentre: cfg.DataCentre, Seeds: cfg.SeedPeers(), Registry: g.registry, Peers: g.peers, Quarantine: quarantine,
 		Clock: clock, OnRouting: g.applyRouting, OnEvacuations: g.applyEvacuations, Capacity: cfg.Capacity(), CollectAddress: cfg.CollectAddress(), Logf: log.For("directory").Infof,
-		OnCollectorOffers: func() { g.collectorClient.Wake() },
+		OnCollectorOffers: func() { g.collectorClient.Wake() }, Path: g.path,
 	})
 	sender := leaf.NewSender(g.pool, platform.LeafProtocol{}, clock)
-	sender.OnNotice = g.follower.HandleNotice
+	sender.OnNotice, sender.Path = g.follower.HandleNotice, g.path
 	if cfg.EvacuateMs > 0 {
 		g.resume = leaf.NewResumeGuard(clock, g.follower.Refresh)
 		sender.Resume = g.resume
 	}
 	g.deliverer = leaf.NewDeliverer(leaf.DelivererOptions{
 		Registry: g.registry, Pool: g.pool, Sender: sender, DataCentre: cfg.DataCentre,
-		Chooser: g.chooser(), Clock: clock, Budget: g.retryBudget, ExtraPercent: extraPercent,
+		Chooser: g.chooser(), Clock: clock, Budget: g.retryBudget, ExtraPercent: extraPercent, Path: g.path,
 	})
 	g.collectorServer = collector.NewServer(g.deliverer, g.refusesParts, g.metrics, log.For("collector"))
 	g.collectorServer.OnEvacuations = g.applyEvacuations
@@ -120,9 +127,17 @@
 		Address: cfg.CollectAddress(), Collecting: g.follower.IsCollector, Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
 		Metrics: g.metrics,
 	})
+	g.relayClient = relay.NewClient(relay.Options{
+		Local: g.collectorClient, Registry: g.registry, Path: g.path, Relays: g.follower.Relays, DataCentre: cfg.DataCentre, Clock: clock, Metrics: g.metrics,
+		Log: log.For("relay"), NewPeers: func() *peer.Pool { return &peer.Pool{LocalAddr: cfg.LocalIP()} },
+	})
+	g.relayServer = relay.NewServer(relay.ServerOptions{
+		Deliverer: g.collectorClient, Path: g.path, Stopping: g.refusesParts, OnEvacuations: g.applyEvacuations, Log: log.For("relay"),
+		Shards: func() [][]samphirepass.Service { return g.dispatcher.ShardLists() },
+	})
 	g.dispatcher = gateway.NewDispatcher(gateway.Options{
 		Quotas:    g.newLimiter(cfg.Quota != nil),
-		Deliverer: g.collectorClient, Ending: g.ending, Quarantine: quarantine, OnSuspicion: g.follower.ReportSuspicion, Metrics: g.metrics, Clock: clock, Log: log.For("gateway"),
+		Deliverer: g.relayClient, Ending: g.ending, Quarantine: quarantine, OnSuspicion: g.follower.ReportSuspicion, Metrics: g.metrics, Clock: clock, Log: log.For("gateway"),
 	})
 	if cfg.WarmUp != nil {
 		g.limitWarmUps(g.newLimiter(true))
@@ -160,6 +175,7 @@
 	if g.cfg.CollectPort != 0 {
 		handlers := newHandlers(g.log)
 		g.collectorServer.Register(handlers)
+		g.relayServer.Register(handlers)
 		g.peerWS = peer.NewServer(handlers)
 		peerMux := http.NewServeMux()
 		peerMux.Handle(peer.Path, g.peerWS)
@@ -175,6 +191,17 @@
 	return nil
 }
 
+// notePathChange logs that the path to leaves was lost or is back.
+func (g *Gateway) notePathChange(c leaf.PathChange) {
+	lost := samphirepass.PathLost(g.path)
+	g.metrics.SetPathLost(lost)
+	if lost {
+		g.log.For("path").Event("Path to leaves lost.", "condition", c.Condition, "since-contact-ms", int(c.SinceContactMs))
+		return
+	}
+	g.log.For("path").Event("Path to leaves is back.", "lost-ms", int(c.LostMs))
+}
+
 // applyRouting puts a routing document in force if it is newer than the one in force.
 func (g *Gateway) applyRouting(d samphirepass.RoutingDocument) {
 	log := g.log.For("gateway")
@@ -288,6 +315,8 @@
 		"readiness server":     g.readinessServer,
 		"metrics server":       g.metricsServer,
 		"collector client":     g.collectorClient,
+		"path monitor":         g.path,
+		"relay client":         g.relayClient,
 	})
 	if g.resume != nil {
 		supervisor.Add(namedService{g.resume, "resume guard"})
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -85,6 +85,8 @@
 	CollectAddress string
 	// Quarantine is kept up to date with what the sources know of requests that crash leaves; it may be nil.
 	Quarantine *policy.Quarantine
+	// Path is that of this process to leaves; nil means that it is never lost.
+	Path samphirepass.LeafPath
 	// Logf logs each change of the followed sources.
 	Logf func(format string, args ...any)
 }
@@ -331,6 +333,7 @@
 		Epoch: s.epoch, LeavesVersion: s.leavesVersion, RoutingVersion: f.state.routingVersion, WaitMs: waitMs,
 		Capacity: f.opts.Capacity, CollectAddress: f.opts.CollectAddress, OffersVersion: s.offersVersion, EndpointsVersion: s.endpointsVersion,
 		SuspicionsVersion: s.suspicionsVersion, HasDisk: f.opts.HasDisk, EvacuationsRevision: f.state.evacuationsRevision,
+		NoPath: samphirepass.PathLost(f.opts.Path),
 	}
 	if f.opts.OnRouting == nil {
 		// A control process gets the documents and evacuations from the replicated log, so the source must not send any.
--- a/directory/messages.go
+++ b/directory/messages.go
@@ -51,6 +51,8 @@
 	HasDisk bool
 	// EvacuationsRevision is that of the evacuations that the follower has in force.
 	EvacuationsRevision samphirepass.Revision
+	// NoPath is set if the follower reaches no leaf.
+	NoPath bool
 }
 
 // endpoint returns the follower's endpoint, without an address if it is not a control process.
--- a/directory/source.go
+++ b/directory/source.go
@@ -60,6 +60,8 @@
 	// collectAddress is the peer address at which an entry collects for smaller ones, empty if it does not.
 	collectAddress string
 	capacity       samphirepass.Capacity
+	// noPath is set while an entry reaches no leaf.
+	noPath bool
 }
 
 // reportedOffer is an offer that another source reported.
@@ -112,6 +114,7 @@
 func (s *Source) Register(h *peer.Handlers) {
 	peer.HandleCall(h, kindFollow, s.follow)
 	peer.HandleCall(h, kindReport, s.applyReports)
+	peer.HandleCall(h, kindRelays, s.listRelays)
 }
 
 // follow replies once there are changes that the follower does not have, or the time for which it waits is over.
@@ -167,7 +170,7 @@
 	f := s.followers[key]
 	f.endpoint = req.endpoint()
 	f.lastSeen = s.opts.Clock.Now()
-	f.collectAddress, f.capacity = req.CollectAddress, req.Capacity
+	f.collectAddress, f.capacity, f.noPath = req.CollectAddress, req.Capacity, req.NoPath
 	s.followers[key] = f
 	if req.ControlAddress != "" {
 		s.dataCentres[req.ControlAddress] = req.DataCentre
--- a/errors.go
+++ b/errors.go
@@ -22,6 +22,8 @@
 	CodePartial    Code = "partial-refused"
 	CodeNoSnapshot Code = "no-snapshot"
 	CodeStopping   Code = "stopping"
+	// CodeNoPath means that the process reaches no leaf.
+	CodeNoPath Code = "no-path"
 	// CodeKeyExpired means that the run key is older than the records of runs that are kept.
 	CodeKeyExpired Code = "key-expired"
 	// CodeKeyMismatch means that the run key was used for another request.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -35,6 +35,8 @@
 	retryAfterRefusedMs samphirepass.Millis = 100
 	// retryAfterStoppingMs is the retry-after time of a stopping gateway: others take requests.
 	retryAfterStoppingMs samphirepass.Millis = 1
+	// retryAfterNoPathMs is the retry-after time while neither this gateway nor another one that was asked reaches leaves.
+	retryAfterNoPathMs samphirepass.Millis = 250
 	// noDeadlineMs is the deadline of a request that names none, before the route's timeout bounds it.
 	noDeadlineMs samphirepass.Millis = 1e9
 )
@@ -121,6 +123,21 @@
 	return slices.Collect(maps.Keys(r.shards))
 }
 
+// ShardLists returns the shards of each scatter-gather route in the current document, as lists that do not change.
+func (d *Dispatcher) ShardLists() [][]samphirepass.Service {
+	r := d.router.Load()
+	if r == nil {
+		return nil
+	}
+	var lists [][]samphirepass.Service
+	for _, route := range r.routing.Routes {
+		if route.IsScatterGather() {
+			lists = append(lists, route.ShardServices)
+		}
+	}
+	return lists
+}
+
 // MaxShards returns the largest number of shards of a route in the current document.
 func (d *Dispatcher) MaxShards() int {
 	r := d.router.Load()
@@ -291,6 +308,8 @@
 		return samphirepass.ClientAnswer{Merged: MergeReplies(delivery, result)}, nil
 	}
 	switch {
+	case result.NoPath && !result.MaybeRun && result.Answered == 0:
+		return samphirepass.ClientAnswer{}, withRetryAfter(max(result.RetryAfterMs, retryAfterNoPathMs), samphirepass.Refuse(samphirepass.CodeNoPath, "the gateway reaches no leaf, and no other one took the request"))
 	case !result.MaybeRun && result.Answered == 0:
 		return samphirepass.ClientAnswer{}, withRetryAfter(max(result.RetryAfterMs, retryAfterRefusedMs), samphirepass.Refuse(samphirepass.CodeOverloaded, "every leaf that was asked refused the request"))
 	case errors.Is(context.Cause(ctx), errEnding):
--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -171,6 +171,7 @@
 
 func (f *fanOut) handleFailure(r attemptResult) {
 	f.lastErr, f.lastLeaf = r.err, r.leaf
+	f.unreached = f.unreached || errors.Is(r.err, errNotConnected)
 	budget := f.budgets[r.shard]
 	takeBudget := budget.TakeRetry
 	var failure *samphirepass.AttemptError
--- a/leaf/conn.go
+++ b/leaf/conn.go
@@ -81,11 +81,21 @@
 	return pc.idleTimeoutMs > 0 && pc.answeredAtMs > 0 && now-pc.answeredAtMs > pc.idleTimeoutMs-idleMarginMs
 }
 
+// isOpen reports whether the connection is open and alive.
+func (pc *pooledConn) isOpen() bool {
+	return pc.conn != nil && pc.reader.Buffered() == 0 && isAlive(pc.conn)
+}
+
 // connect dials unless the connection is open and alive.
 func (pc *pooledConn) connect(ctx context.Context, address string) error {
-	if pc.conn != nil && pc.reader.Buffered() == 0 && isAlive(pc.conn) {
+	if pc.isOpen() {
 		return nil
 	}
+	return pc.dial(ctx, address)
+}
+
+// dial opens a new connection and closes an open one.
+func (pc *pooledConn) dial(ctx context.Context, address string) error {
 	pc.close()
 	dialer := pc.dialer
 	if dialer == nil {
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -68,6 +68,8 @@
 	FurtherAttempts func(context.Context) bool `codec:"-"`
 	// Extra is set if other attempts on the shards were made before, so that all attempts draw on the retry budget.
 	Extra bool
+	// Recorded is set if the first attempts have been counted in the retry budget before.
+	Recorded bool
 }
 
 // RequiredShards returns the least number of shards for an answer.
@@ -81,6 +83,15 @@
 	return max(int(math.Ceil(d.Route.MinShardShare*float64(len(d.Shards))-roundingTolerance)), 1)
 }
 
+// WithElapsed returns the delivery with the elapsed time subtracted from its deadline and its partial-answer time.
+func (d Delivery) WithElapsed(elapsed samphirepass.Millis) Delivery {
+	d.Request.DeadlineMs = max(d.Request.DeadlineMs-elapsed, 1)
+	if d.PartialAfterMs > 0 {
+		d.PartialAfterMs = max(d.PartialAfterMs-elapsed, 1)
+	}
+	return d
+}
+
 // dueShards returns the number of shards with which the answer is returned at PartialAfterMs.
 func (d Delivery) dueShards() int { return max(d.DueShards, d.RequiredShards()) }
 
@@ -124,6 +135,14 @@
 	// Crashes are the leaves that ended while they ran the request, Survived is set if another one ran it and did not.
 	Crashes  []samphirepass.LeafCrash
 	Survived bool
+	// NoPath is set if shards are missing as this process reaches no leaf.
+	NoPath bool
+	// Unreached is set if shards are missing and connections to their leaves could not be opened.
+	Unreached bool
+	// Recorded is set if the first attempts were counted in the retry budget.
+	Recorded bool
+	// MostAttempts is the largest number of attempts on one shard that its leaves may have seen.
+	MostAttempts int
 	// Timing says where the time went.
 	Timing Timing
 }
@@ -134,6 +153,7 @@
 	budgets      func(samphirepass.Service) samphirepass.Budget
 	extraPercent samphirepass.Percent
 	shareGates   bool
+	path         samphirepass.LeafPath
 
 	mu     sync.Mutex
 	routes map[routeStateKey]routeState
@@ -169,6 +189,8 @@
 	Budget func(samphirepass.Service) samphirepass.Budget
 	// ExtraPercent is the percentage of hedges and retries that the hedgers are tuned for.
 	ExtraPercent samphirepass.Percent
+	// Path is that of this process to leaves; nil means that it is never lost.
+	Path samphirepass.LeafPath
 	// ShareGates makes routes to single leaves refuse the accounts with the largest use while the leaves report that requests queue there.
 	ShareGates bool
 }
@@ -177,7 +199,7 @@
 func NewDeliverer(opts DelivererOptions) *Deliverer {
 	return &Deliverer{
 		fanOutDeps: &fanOutDeps{registry: opts.Registry, pool: opts.Pool, sender: opts.Sender, dataCentre: opts.DataCentre, chooser: opts.Chooser, clock: opts.Clock},
-		budgets:    opts.Budget, extraPercent: opts.ExtraPercent, shareGates: opts.ShareGates, routes: map[routeStateKey]routeState{},
+		budgets:    opts.Budget, extraPercent: opts.ExtraPercent, shareGates: opts.ShareGates, path: opts.Path, routes: map[routeStateKey]routeState{},
 	}
 }
 
@@ -248,7 +270,8 @@
 	return n
 }
 
-// Deliver sends a request to one leaf of each shard and returns the replies that came before its deadline.
+// Deliver sends a request to one leaf of each shard and returns the replies that came before its deadline. It ends as soon as no leaf is
+// reached, unless the request may not be repeated and a leaf may have it.
 func (d *Deliverer) Deliver(ctx context.Context, delivery Delivery) DeliveryResult {
 	began := d.clock.Now()
 	leaves := make([][]Registration, len(delivery.Shards))
@@ -258,7 +281,10 @@
 		maxAttempts: max(delivery.Route.MaxAttempts, 1), atMostOnce: delivery.Route.Kind == samphirepass.AtMostOnce,
 		partialAfter: delivery.PartialAfterMs, grace: delivery.GraceMs, requiredShards: delivery.RequiredShards(), dueShards: delivery.dueShards(),
 		cancelDelay: cancelDelayMs, endedCancelDelay: endedCancelDelayMs, probe: delivery.Probe,
-		sendsEnd: delivery.SendsEnd, extra: delivery.Extra,
+		sendsEnd: delivery.SendsEnd, extra: delivery.Extra, recorded: delivery.Recorded,
+	}
+	if d.path != nil {
+		opts.pathLost = d.path.Lost()
 	}
 	opts.expected = expectedLatency(opts.hedger, delivery.Route)
 	opts.tokenWait = tokenWait(delivery.Route)
@@ -270,6 +296,10 @@
 			result.KnownShards++
 		}
 	}
+	if samphirepass.PathLost(d.path) {
+		result.LastErr, result.NoPath = samphirepass.ErrNoPath, true
+		return result
+	}
 	if delivery.PartialAfterMs > 0 {
 		opts.skip = state.skipper.Select(delivery.Shards, result.KnownShards-opts.dueShards)
 	}
@@ -294,7 +324,7 @@
 	if gated && f.shards[0].answered {
 		state.gate.Observe(d.clock.Now(), f.shards[0].reply.Load)
 	}
-	if delivery.PartialAfterMs > 0 {
+	if delivery.PartialAfterMs > 0 && !f.noPath {
 		f.recordPunctuality(state.skipper, delivery.Shards)
 	}
 	return f.deliveryResult(delivery, result)
@@ -312,12 +342,15 @@
 		if s.skipped {
 			result.Skipped++
 		}
+		result.MostAttempts = max(result.MostAttempts, s.sentAttempts)
 	}
+	result.NoPath, result.Recorded = f.noPath && f.answeredShards < len(f.shards), f.recorded
+	result.Unreached = f.unreached && f.answeredShards < len(f.shards)
 	result.LastErr, result.LastLeaf = f.lastErr, f.lastLeaf
 	result.Answered, result.Failure, result.MaybeRun = f.answeredShards, f.failure, f.maybeRun || f.mayStillRun
 	result.Timing = f.times.result()
 	result.Crashes, result.Survived = f.crashes, f.survived
-	result.RetryAfterMs, result.SendsEnded = f.retryAfter, f.sendsEnded
+	result.RetryAfterMs, result.SendsEnded = f.retryAfter, f.sendsEnded && !f.noPath
 	result.CrossCentreAttempts = f.crossCentreAttempts
 	if delivery.Route.IsScatterGather() {
 		result.DegradedShards = f.degradedShards()
--- a/leaf/fanout.go
+++ b/leaf/fanout.go
@@ -125,6 +125,10 @@
 	sendsEnd <-chan struct{}
 	// extra makes first attempts draw on the budgets like retries.
 	extra bool
+	// recorded is set once the first attempts are counted in the budgets.
+	recorded bool
+	// pathLost is closed when this process reaches no leaf; nil means never.
+	pathLost <-chan struct{}
 	// progress is called with the fraction of shards still open; it may be nil.
 	progress func(open float64)
 }
@@ -174,6 +178,8 @@
 	condemned bool
 	// failure is the last reply of a leaf that ran an attempt and reported a failure.
 	failure *samphirepass.Reply
+	// noPath is set once pathLost is closed, unreached once a connection could not be opened.
+	noPath, unreached bool
 }
 
 // newFanOut returns a fan-out over leaves, which has one element for each shard.
@@ -197,8 +203,9 @@
 		f.lastErr = errLimited
 		return
 	}
-	if !f.extra {
+	if !f.extra && !f.recorded {
 		f.recordPrimaries()
+		f.recorded = true
 	}
 	for _, i := range f.skip {
 		f.shards[i].skipped = len(f.leaves[i]) > 0
@@ -229,6 +236,10 @@
 			f.handlePermission(granted)
 		case <-f.sendsEnd:
 			f.endSends()
+		case <-f.pathLost:
+			if f.losePath() {
+				return
+			}
 		case <-f.ctx.Done():
 			f.shed = f.shed || errors.Is(f.ctx.Err(), context.DeadlineExceeded)
 			f.observeUnfinished()
@@ -276,6 +287,10 @@
 	if f.ctx.Err() != nil {
 		delay = f.endedCancelDelay
 	}
+	if f.noPath {
+		cancel(samphirepass.ErrNoPath)
+		return
+	}
 	if f.attemptsInFlight() == 0 || delay == 0 {
 		cancel(context.Cause(f.ctx))
 		return
@@ -293,6 +308,22 @@
 	f.closeHeld()
 }
 
+// losePath withdraws the unsent attempts as no leaf is reached, and reports whether the fan-out ends. One whose request may not be repeated
+// goes on while a leaf may have it: its answer may arrive once the path is back.
+func (f *fanOut) losePath() bool {
+	f.pathLost, f.noPath, f.lastErr = nil, true, samphirepass.ErrNoPath
+	f.endSends()
+	if !f.atMostOnce {
+		return true
+	}
+	for i := range f.shards {
+		if s := &f.shards[i]; s.inFlight > 0 && !s.withdraw() {
+			return false
+		}
+	}
+	return true
+}
+
 // withdrawUnsent withdraws the attempts that still wait for a connection, whose answers nobody needs any more.
 func (f *fanOut) withdrawUnsent() {
 	for i := range f.shards {
--- a/leaf/native.go
+++ b/leaf/native.go
@@ -105,3 +105,8 @@
 	}
 	return req, nil
 }
+
+// Ping returns the same request as Probe.
+func (n Native) Ping(ctx context.Context, address string) (*http.Request, error) {
+	return n.Probe(ctx, address)
+}
--- /dev/null
+++ b/leaf/path.go
@@ -0,0 +1,275 @@
+package leaf
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"samphirepass"
+	"samphirepass/policy"
+)
+
+const (
+	// pathProbes is the number of leaves that are probed at a time.
+	pathProbes = 3
+	// lostRecheckMs is the interval between probes while the path is lost.
+	lostRecheckMs samphirepass.Millis = 200
+	// probeHoldMs is how long a probed connection must stay open: some links reset connections right after they are accepted.
+	probeHoldMs samphirepass.Millis = 10
+	// pathLatenessMs is the lateness of a timer from which this process may not have read what leaves sent.
+	pathLatenessMs samphirepass.Millis = 50
+)
+
+// PathMonitorOptions set up a PathMonitor.
+type PathMonitorOptions struct {
+	Registry   *Registry
+	Pool       *Pool
+	Protocol   samphirepass.LeafProtocol
+	DataCentre samphirepass.DataCentre
+	Clock      samphirepass.Clock
+	// OnChange is called when the path is lost and when it is back.
+	OnChange func(PathChange)
+}
+
+// PathChange says that the path to leaves was lost or is back.
+type PathChange struct {
+	Condition policy.PathCondition
+	// SinceContactMs is the time since a leaf last showed a sign of life before the change, LostMs the time for which the path was lost.
+	SinceContactMs, LostMs samphirepass.Millis
+}
+
+// PathMonitor finds out whether this process reaches leaves at all. It learns from the attempts of a Sender, and probes some leaves if these
+// hang or fail and no other leaf shows a sign of life. It implements samphirepass.LeafPath; a nil monitor takes the path to be up.
+type PathMonitor struct {
+	opts PathMonitorOptions
+
+	mu       sync.Mutex
+	detector policy.PathDetector
+	// lost is closed while the path is lost, at lostAt.
+	lost   chan struct{}
+	isLost bool
+	lostAt samphirepass.Millis
+	// armedFor is the time at which Serve checks next, 0 if it waits for wake.
+	armedFor samphirepass.Millis
+	wake     chan struct{}
+}
+
+// NewPathMonitor returns a monitor of a path that is up.
+func NewPathMonitor(opts PathMonitorOptions) *PathMonitor {
+	return &PathMonitor{opts: opts, lost: make(chan struct{}), wake: make(chan struct{}, 1)}
+}
+
+// Lost implements samphirepass.LeafPath.
+func (m *PathMonitor) Lost() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lost
+}
+
+// update calls change with the detector and publishes what follows from it.
+func (m *PathMonitor) update(change func(d *policy.PathDetector, now samphirepass.Millis)) {
+	m.mu.Lock()
+	now := m.opts.Clock.Now()
+	sinceContact := m.detector.SinceContact(now)
+	change(&m.detector, now)
+	// Where a check is due soon anyway, there is no need to look for an earlier one.
+	if m.armedFor == 0 || m.armedFor-now > policy.ConnectPatienceMs {
+		if at, ok := m.detector.CheckAt(); ok && (m.armedFor == 0 || at < m.armedFor) {
+			m.armedFor = at
+			m.wakeLocked()
+		}
+	}
+	lost := m.detector.IsLost()
+	if lost == m.isLost {
+		m.mu.Unlock()
+		return
+	}
+	c := PathChange{Condition: m.detector.Condition(), SinceContactMs: sinceContact}
+	m.isLost = lost
+	if lost {
+		m.lostAt = now
+		close(m.lost)
+	} else {
+		c.LostMs = now - m.lostAt
+		m.lost = make(chan struct{})
+	}
+	m.wakeLocked()
+	m.mu.Unlock()
+	if m.opts.OnChange != nil {
+		m.opts.OnChange(c)
+	}
+}
+
+func (m *PathMonitor) wakeLocked() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// dial opens the connection to a leaf and records how that went.
+func (m *PathMonitor) dial(ctx context.Context, pc *pooledConn, address string) error {
+	if m == nil {
+		return pc.dial(ctx, address)
+	}
+	var id uint64
+	m.update(func(d *policy.PathDetector, now samphirepass.Millis) { id = d.BeginDial(now) })
+	err := pc.dial(ctx, address)
+	m.update(func(d *policy.PathDetector, now samphirepass.Millis) {
+		d.End(now, id, pathOutcome(ctx, err, policy.PathConnected))
+	})
+	return err
+}
+
+// roundTrip sends a request on an open connection and records how that went.
+func (m *PathMonitor) roundTrip(ctx context.Context, pc *pooledConn, to samphirepass.Leaf, expected samphirepass.Millis, req *http.Request, limits answerLimits) (*http.Response, []byte, error) {
+	if m == nil {
+		return pc.roundTrip(ctx, req, limits)
+	}
+	var id uint64
+	m.update(func(d *policy.PathDetector, now samphirepass.Millis) { id = d.BeginExchange(now, to, expected) })
+	resp, body, err := pc.roundTrip(ctx, req, limits)
+	m.update(func(d *policy.PathDetector, now samphirepass.Millis) {
+		d.End(now, id, pathOutcome(ctx, err, policy.PathAnswered))
+	})
+	return resp, body, err
+}
+
+func pathOutcome(ctx context.Context, err error, success policy.PathOutcome) policy.PathOutcome {
+	switch {
+	case err == nil:
+		return success
+	case ctx.Err() != nil:
+		return policy.PathAbandoned
+	}
+	return policy.PathFailed
+}
+
+// Serve watches the path until ctx ends.
+func (m *PathMonitor) Serve(ctx context.Context) error {
+	t := time.NewTimer(time.Hour)
+	defer t.Stop()
+	for {
+		m.mu.Lock()
+		now := m.opts.Clock.Now()
+		lost := m.isLost
+		at, ok := m.detector.CheckAt()
+		if lost {
+			at, ok = now+lostRecheckMs, true
+		}
+		m.armedFor = 0
+		if ok {
+			m.armedFor = at
+			t.Reset(max(at-now, 0).Duration())
+		} else {
+			t.Stop()
+		}
+		m.mu.Unlock()
+		select {
+		case <-t.C:
+			m.check(ctx, m.opts.Clock.Now()-at)
+		case <-m.wake:
+		case <-ctx.Done():
+			return fmt.Errorf("watch the path to leaves: %w", ctx.Err())
+		}
+	}
+}
+
+// check suspects the path if that is due, and probes leaves if the path is suspected or lost. late is the lateness of the timer.
+func (m *PathMonitor) check(ctx context.Context, late samphirepass.Millis) {
+	probe := false
+	m.update(func(d *policy.PathDetector, now samphirepass.Millis) {
+		switch {
+		case d.IsLost():
+			probe = true
+		case late >= pathLatenessMs:
+			d.Excuse(now)
+		default:
+			probe = d.Check(now)
+		}
+	})
+	if probe {
+		reached := m.probe(ctx)
+		if ctx.Err() == nil {
+			m.update(func(d *policy.PathDetector, now samphirepass.Millis) { d.Probed(now, reached) })
+		}
+	}
+}
+
+// probe reports whether one of some leaves is reached within PathConfirmMs. On a path that is up or suspected, a sign of life of any other
+// leaf ends it early. Without a leaf to probe nothing is known against the path.
+func (m *PathMonitor) probe(ctx context.Context) bool {
+	leaves := m.leavesToProbe()
+	if len(leaves) == 0 {
+		return true
+	}
+	m.mu.Lock()
+	condition, began := m.detector.Condition(), m.opts.Clock.Now()
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, policy.PathConfirmMs.Duration())
+	defer cancel()
+	reached := make(chan bool, len(leaves))
+	for _, reg := range leaves {
+		go func() { reached <- m.reaches(ctx, reg, condition == policy.PathMute) }()
+	}
+	for range leaves {
+		if <-reached {
+			return true
+		}
+	}
+	if condition != policy.PathSuspected {
+		return false
+	}
+	// New connections may be refused at once while open ones still serve.
+	<-ctx.Done()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.detector.ContactSince(began)
+}
+
+// leavesToProbe returns some serving leaves in random order, among them one of the own data centre if there is any.
+func (m *PathMonitor) leavesToProbe() []Registration {
+	var own, all []Registration
+	for _, reg := range m.opts.Registry.All() {
+		if reg.State != samphirepass.LeafServing || m.opts.Registry.Evacuated(reg.DataCentre) {
+			continue
+		}
+		all = append(all, reg)
+		if reg.DataCentre == m.opts.DataCentre {
+			own = append(own, reg)
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	leaves := all[:min(len(all), pathProbes)]
+	if len(own) > 0 && !slices.ContainsFunc(leaves, func(reg Registration) bool { return reg.DataCentre == m.opts.DataCentre }) {
+		leaves[0] = own[rand.IntN(len(own))]
+	}
+	return leaves
+}
+
+// reaches reports whether a leaf takes a connection and does not reset it at once, or answers a ping on it.
+func (m *PathMonitor) reaches(ctx context.Context, reg Registration, ping bool) bool {
+	pc := &pooledConn{dialer: m.opts.Pool.dialer}
+	defer pc.close()
+	if pc.dial(ctx, reg.Address) != nil {
+		return false
+	}
+	if ping {
+		if req, err := m.opts.Protocol.Ping(ctx, reg.Address); err == nil && req != nil {
+			_, _, err := pc.roundTrip(ctx, req, answerLimits{body: maxLoadBytes})
+			return err == nil
+		}
+	}
+	if err := pc.conn.SetReadDeadline(time.Now().Add(probeHoldMs.Duration())); err != nil {
+		return false
+	}
+	_, err := pc.conn.Read(make([]byte, 1))
+	var timeout net.Error
+	return err == nil || (errors.As(err, &timeout) && timeout.Timeout())
+}
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -24,6 +24,8 @@
 var (
 	// errExpired means that the deadline of an attempt passed before it could be sent.
 	errExpired = eris.New("the deadline passed before the request was sent")
+	// errNotConnected means that no connection to a leaf could be opened.
+	errNotConnected = eris.New("not connected")
 	// errWithdrawn means that the answer to an attempt was no longer needed before it could be sent.
 	errWithdrawn = eris.New("the answer is no longer needed")
 )
@@ -38,6 +40,8 @@
 	OnNotice NoticeHandler
 	// Resume holds attempts back after a freeze of the process; nil means that nothing does.
 	Resume *ResumeGuard
+	// Path records what attempts show of the path to leaves; nil means that nothing does.
+	Path *PathMonitor
 	// canProbe is set if the protocol has a request to check that an idle connection is alive.
 	canProbe bool
 }
@@ -67,9 +71,12 @@
 	return reply, err
 }
 
-// record updates the measurements of the leaf. An attempt does not count as a failure of the leaf if the leaf shed it,
-// if its data centre is evacuated, if another leaf answers at the address, if it was cancelled other than by ErrSuperseded, or if ctx ended before it was sent.
+// record updates the measurements of the leaf. An attempt that ended since no leaf is reached counts for nothing. One does not count as a
+// failure of the leaf if the leaf shed it, if its data centre is evacuated, if another leaf answers at the address, if it was cancelled other than by ErrSuperseded, or if ctx ended before it was sent.
 func (s *Sender) record(ctx context.Context, t *target, att inFlightAttempt, reply samphirepass.Reply, err error) {
+	if errors.Is(context.Cause(ctx), samphirepass.ErrNoPath) {
+		return
+	}
 	now := s.clock.Now()
 	took := now - att.startedAt
 	kind := samphirepass.FailureKind("")
@@ -143,8 +150,10 @@
 	if s.pool.evacuations.isEvacuated(to.DataCentre) {
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errEvacuated)
 	}
-	if err := pc.connect(ctx, to.Address); err != nil {
-		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("send to %s: %w", to.Leaf, err))
+	if !pc.isOpen() {
+		if err := s.Path.dial(ctx, pc, to.Address); err != nil {
+			return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("send to %s: %w: %w", to.Leaf, errNotConnected, err))
+		}
 	}
 	ownLimit, err := s.pool.confirmColdLimit(ctx, to, a.Permit)
 	if err != nil {
@@ -182,7 +191,7 @@
 		pc.beforeWrite = func() error { return s.checkResumed(ctx, to.DataCentre) }
 		defer func() { pc.beforeWrite = nil }()
 	}
-	resp, body, err := pc.roundTrip(ctx, req, s.limits)
+	resp, body, err := s.Path.roundTrip(ctx, pc, to.Leaf, a.ExpectedMs, req, s.limits)
 	if err != nil {
 		kind := samphirepass.FailureLost
 		switch {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -45,7 +45,8 @@
 	evacuated, uncovered prometheus.Gauge
 	choices              *prometheus.CounterVec
 	balanced             prometheus.Gauge
-	repeats              *prometheus.CounterVec
+	repeats, relayed     *prometheus.CounterVec
+	pathLost             prometheus.Gauge
 
 	// totalAttempts and totalExtra are the sums of attempts and extra over all services.
 	totalAttempts, totalExtra atomic.Int64
@@ -102,6 +103,13 @@
 	m.repeats = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "samphirepass_parts_repeated_total", Help: "Parts of requests that were delivered again, by outcome.",
 	}, []string{"outcome"})
+	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "samphirepass_relayed_requests_total", Help: "Requests offered to other gateways as this one reaches no leaf of them, by outcome.",
+	}, []string{"outcome"})
+	m.pathLost = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "samphirepass_leaf_path_lost", Help: "1 while no leaf is reached, 0 otherwise.",
+	})
+	m.registry.MustRegister(m.relayed, m.pathLost)
 	m.registry.MustRegister(m.queries, m.requests, m.attempts, m.extra, m.runs, m.stages, m.cold, m.evacuated, m.uncovered, m.choices, m.balanced, m.repeats)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -166,6 +174,29 @@
 	m.repeats.WithLabelValues(string(outcome)).Inc()
 }
 
+// RelayOutcome is how the offer of a request to other gateways ended, as a metrics label.
+type RelayOutcome string
+
+// Outcomes of requests that were offered to other gateways.
+const (
+	RelayTaken RelayOutcome = "taken"
+	// RelayRefused means that no gateway took the request.
+	RelayRefused RelayOutcome = "refused"
+)
+
+// RequestRelayed counts a request that was offered to other gateways.
+func (m *Metrics) RequestRelayed(outcome RelayOutcome) {
+	m.relayed.WithLabelValues(string(outcome)).Inc()
+}
+
+// SetPathLost records whether no leaf is reached.
+func (m *Metrics) SetPathLost(lost bool) {
+	m.pathLost.Set(0)
+	if lost {
+		m.pathLost.Set(1)
+	}
+}
+
 // CollectStage is a stage of a collected request, as a metrics label.
 type CollectStage string
 
--- /dev/null
+++ b/policy/path.go
@@ -0,0 +1,222 @@
+package policy
+
+import (
+	"maps"
+
+	"samphirepass"
+)
+
+const (
+	// ConnectPatienceMs is the time within which a leaf accepts a connection, many times the network delay.
+	ConnectPatienceMs samphirepass.Millis = 100
+	// An answer is overdue after answerPatienceFactor times its expected latency, within the two bounds.
+	answerPatienceFactor                     = 3
+	minAnswerPatienceMs  samphirepass.Millis = 100
+	maxAnswerPatienceMs  samphirepass.Millis = 500
+	// PathConfirmMs is the time within which no leaf may show a sign of life before a suspected path counts as lost.
+	PathConfirmMs samphirepass.Millis = 200
+	// suspicionPauseMs is the time between a suspicion that was unfounded and the next one: a single leaf may stay silent for long.
+	suspicionPauseMs samphirepass.Millis = 1000
+	// A path is also lost if muteLeaves leaves or more take connections but no leaf has answered for muteMs. Even where all leaves are
+	// overloaded some refuse within that time.
+	muteLeaves                     = 3
+	muteMs     samphirepass.Millis = 1000
+)
+
+// PathCondition says whether a process reaches leaves.
+type PathCondition string
+
+// Conditions of a path.
+const (
+	PathUp PathCondition = "up"
+	// PathSuspected means that an attempt is overdue or has failed, and no leaf has shown a sign of life since.
+	PathSuspected PathCondition = "suspected"
+	PathLost      PathCondition = "lost"
+	// PathMute means that leaves take connections, but none answers.
+	PathMute PathCondition = "mute"
+)
+
+// PathOutcome is how a dial or an exchange with a leaf ended.
+type PathOutcome string
+
+// Outcomes of dials and exchanges.
+const (
+	PathConnected PathOutcome = "connected"
+	PathAnswered  PathOutcome = "answered"
+	PathFailed    PathOutcome = "failed"
+	// PathAbandoned means that this process stopped waiting.
+	PathAbandoned PathOutcome = "abandoned"
+)
+
+// AnswerPatience returns how long an answer with the given expected latency, 0 if it is not known, may take before it is overdue.
+func AnswerPatience(expected samphirepass.Millis) samphirepass.Millis {
+	return min(max(answerPatienceFactor*expected, minAnswerPatienceMs), maxAnswerPatienceMs)
+}
+
+// pathWait is a dial or an exchange in progress.
+type pathWait struct {
+	startedAt, patience samphirepass.Millis
+}
+
+// PathDetector decides from the dials and exchanges of a process whether it reaches leaves. A leaf that is silent says nothing about the
+// path while another one shows a sign of life. Its zero value is a path that is up; it is not safe for concurrent use.
+type PathDetector struct {
+	condition PathCondition
+	// contactAt is when a leaf last took a connection or answered, answeredAt when one last answered.
+	contactAt, answeredAt samphirepass.Millis
+	// failedAt is when a dial or an exchange last failed.
+	failedAt samphirepass.Millis
+	waiting  map[uint64]pathWait
+	lastID   uint64
+	// unanswered holds the leaves that were sent requests since the last answer, with the time of the first one.
+	unanswered  map[samphirepass.Leaf]samphirepass.Millis
+	suspectedAt samphirepass.Millis
+	// trustedUntil is the time until which the path is not suspected.
+	trustedUntil samphirepass.Millis
+}
+
+// Condition returns the current condition.
+func (d *PathDetector) Condition() PathCondition {
+	if d.condition == "" {
+		return PathUp
+	}
+	return d.condition
+}
+
+// IsLost reports whether no leaf is reached.
+func (d *PathDetector) IsLost() bool { return d.condition == PathLost || d.condition == PathMute }
+
+// BeginDial records the start of a dial and returns its number for End.
+func (d *PathDetector) BeginDial(now samphirepass.Millis) uint64 {
+	return d.begin(now, ConnectPatienceMs)
+}
+
+// BeginExchange records that a request was sent to a leaf, and returns its number for End.
+func (d *PathDetector) BeginExchange(now samphirepass.Millis, to samphirepass.Leaf, expected samphirepass.Millis) uint64 {
+	if d.unanswered == nil {
+		d.unanswered = map[samphirepass.Leaf]samphirepass.Millis{}
+	}
+	if _, ok := d.unanswered[to]; !ok {
+		d.unanswered[to] = now
+	}
+	return d.begin(now, AnswerPatience(expected))
+}
+
+func (d *PathDetector) begin(now, patience samphirepass.Millis) uint64 {
+	if d.waiting == nil {
+		d.waiting = map[uint64]pathWait{}
+	}
+	d.lastID++
+	d.waiting[d.lastID] = pathWait{startedAt: now, patience: patience}
+	return d.lastID
+}
+
+// End records how a dial or an exchange ended. An exchange that was abandoned when it was overdue counts as failed.
+func (d *PathDetector) End(now samphirepass.Millis, id uint64, outcome PathOutcome) {
+	w := d.waiting[id]
+	delete(d.waiting, id)
+	if outcome == PathAbandoned && now-max(w.startedAt, d.contactAt) >= w.patience {
+		outcome = PathFailed
+	}
+	switch outcome {
+	case PathAnswered:
+		d.answeredAt, d.contactAt, d.condition = now, now, PathUp
+		clear(d.unanswered)
+	case PathConnected:
+		d.contactAt = now
+		if d.condition != PathMute {
+			d.condition = PathUp
+		}
+	case PathFailed:
+		d.failedAt = now
+	}
+}
+
+// CheckAt returns the next time at which Check may suspect the path, and false if nothing in progress could lead to that.
+func (d *PathDetector) CheckAt() (samphirepass.Millis, bool) {
+	if d.Condition() != PathUp {
+		return 0, false
+	}
+	at, ok := samphirepass.Millis(0), false
+	for w := range maps.Values(d.waiting) {
+		if due := max(w.startedAt, d.contactAt) + w.patience; !ok || due < at {
+			at, ok = due, true
+		}
+	}
+	if due := d.failedAt + ConnectPatienceMs; d.failedAt > d.contactAt && (!ok || due < at) {
+		at, ok = due, true
+	}
+	at = max(at, d.trustedUntil)
+	if due, found := d.muteAt(); found && (!ok || due < at) {
+		at, ok = due, true
+	}
+	return at, ok
+}
+
+// muteAt returns the time at which the path is lost as no leaf answers, and false while too few were asked.
+func (d *PathDetector) muteAt() (samphirepass.Millis, bool) {
+	if len(d.unanswered) < muteLeaves {
+		return 0, false
+	}
+	// The earliest times of muteLeaves leaves, in ascending order.
+	var first [muteLeaves]samphirepass.Millis
+	n := 0
+	for at := range maps.Values(d.unanswered) {
+		i := n
+		for ; i > 0 && first[i-1] > at; i-- {
+			if i < muteLeaves {
+				first[i] = first[i-1]
+			}
+		}
+		if i < muteLeaves {
+			first[i] = at
+		}
+		n = min(n+1, muteLeaves)
+	}
+	return max(first[muteLeaves-1], d.answeredAt) + muteMs, true
+}
+
+// Check reports whether the path is suspected from now on, so that leaves should be probed. It may also find that no leaf answers, which
+// no probe is needed for.
+func (d *PathDetector) Check(now samphirepass.Millis) bool {
+	if at, ok := d.CheckAt(); !ok || now < at {
+		return false
+	}
+	if at, ok := d.muteAt(); ok && now >= at {
+		d.condition = PathMute
+		return false
+	}
+	d.condition, d.suspectedAt = PathSuspected, now
+	return true
+}
+
+// Excuse makes all that is in progress count from now on: this process was late itself and may not have read what arrived.
+func (d *PathDetector) Excuse(now samphirepass.Millis) {
+	d.contactAt = max(d.contactAt, now)
+	d.answeredAt = max(d.answeredAt, now)
+}
+
+// Probed records whether one of several leaves that were probed took a connection, or answered where the path is mute. Without a sign of
+// life since the suspicion the path is lost.
+func (d *PathDetector) Probed(now samphirepass.Millis, reached bool) {
+	switch {
+	case reached:
+		d.contactAt, d.trustedUntil = now, now+suspicionPauseMs
+		if d.IsLost() {
+			// Silence before the path was back says nothing any more.
+			d.answeredAt, d.trustedUntil = now, now
+			clear(d.unanswered)
+		}
+		d.condition = PathUp
+	case d.condition == PathSuspected:
+		d.condition = PathLost
+	}
+}
+
+// SinceContact returns the time since a leaf last showed a sign of life.
+func (d *PathDetector) SinceContact(now samphirepass.Millis) samphirepass.Millis {
+	return now - d.contactAt
+}
+
+// ContactSince reports whether a leaf has shown a sign of life at or after a time.
+func (d *PathDetector) ContactSince(at samphirepass.Millis) bool { return d.contactAt >= at }
--- /dev/null
+++ b/policy/path_test.go
@@ -0,0 +1,105 @@
+package policy_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"samphirepass"
+	"samphirepass/policy"
+)
+
+// pathEvent is one step of a test: something that happens at a time, in milliseconds.
+type pathEvent struct {
+	at samphirepass.Millis
+	do func(d *policy.PathDetector, now samphirepass.Millis)
+}
+
+func sendsTo(leaves ...samphirepass.Leaf) func(*policy.PathDetector, samphirepass.Millis) {
+	return func(d *policy.PathDetector, now samphirepass.Millis) {
+		for _, l := range leaves {
+			d.BeginExchange(now, l, 20)
+		}
+	}
+}
+
+func ends(id uint64, outcome policy.PathOutcome) func(*policy.PathDetector, samphirepass.Millis) {
+	return func(d *policy.PathDetector, now samphirepass.Millis) { d.End(now, id, outcome) }
+}
+
+func dials(d *policy.PathDetector, now samphirepass.Millis) { d.BeginDial(now) }
+
+func checks(d *policy.PathDetector, now samphirepass.Millis) { d.Check(now) }
+
+func excuses(d *policy.PathDetector, now samphirepass.Millis) { d.Excuse(now) }
+
+func probed(reached bool) func(*policy.PathDetector, samphirepass.Millis) {
+	return func(d *policy.PathDetector, now samphirepass.Millis) { d.Probed(now, reached) }
+}
+
+// TestPathCondition guards against a path that is found lost for one silent leaf, or not found lost when no leaf is reached.
+func TestPathCondition(t *testing.T) {
+	tests := map[string]struct {
+		events []pathEvent
+		want   policy.PathCondition
+	}{
+		"nothing in progress":                    {[]pathEvent{{10_000, checks}}, policy.PathUp},
+		"an answer is not due yet":               {[]pathEvent{{0, sendsTo("a")}, {99, checks}}, policy.PathUp},
+		"an answer is overdue":                   {[]pathEvent{{0, sendsTo("a")}, {100, checks}}, policy.PathSuspected},
+		"another leaf answers meanwhile":         {[]pathEvent{{0, sendsTo("a", "b")}, {60, ends(2, policy.PathAnswered)}, {100, checks}}, policy.PathUp},
+		"another leaf takes a connection":        {[]pathEvent{{0, sendsTo("a")}, {50, dials}, {60, ends(2, policy.PathConnected)}, {100, checks}}, policy.PathUp},
+		"a dial hangs":                           {[]pathEvent{{0, dials}, {100, checks}}, policy.PathSuspected},
+		"a connection broke just now":            {[]pathEvent{{0, sendsTo("a")}, {50, ends(1, policy.PathFailed)}, {149, checks}}, policy.PathUp},
+		"a connection broke, and silence since":  {[]pathEvent{{0, sendsTo("a")}, {50, ends(1, policy.PathFailed)}, {150, checks}}, policy.PathSuspected},
+		"an overdue exchange was abandoned":      {[]pathEvent{{0, sendsTo("a")}, {110, ends(1, policy.PathAbandoned)}, {210, checks}}, policy.PathSuspected},
+		"one that was not due was abandoned":     {[]pathEvent{{0, sendsTo("a")}, {50, ends(1, policy.PathAbandoned)}, {500, checks}}, policy.PathUp},
+		"the process was late itself":            {[]pathEvent{{0, sendsTo("a")}, {200, excuses}, {250, checks}}, policy.PathUp},
+		"no probe succeeds":                      {[]pathEvent{{0, sendsTo("a")}, {100, checks}, {300, probed(false)}}, policy.PathLost},
+		"a probe succeeds":                       {[]pathEvent{{0, sendsTo("a")}, {100, checks}, {101, probed(true)}}, policy.PathUp},
+		"the suspicion was unfounded just now":   {[]pathEvent{{0, sendsTo("a")}, {100, checks}, {101, probed(true)}, {1100, checks}}, policy.PathUp},
+		"it was unfounded a while ago":           {[]pathEvent{{0, sendsTo("a")}, {100, checks}, {101, probed(true)}, {1101, checks}}, policy.PathSuspected},
+		"an answer arrives during the probes":    {[]pathEvent{{0, sendsTo("a")}, {100, checks}, {150, ends(1, policy.PathAnswered)}, {300, probed(false)}}, policy.PathUp},
+		"a lost path takes a connection":         {[]pathEvent{{0, dials}, {100, checks}, {300, probed(false)}, {900, ends(1, policy.PathConnected)}}, policy.PathUp},
+		"leaves take connections, none answers":  {[]pathEvent{{0, sendsTo("a", "b", "c")}, {100, checks}, {101, probed(true)}, {1000, checks}}, policy.PathMute},
+		"two leaves do not answer":               {[]pathEvent{{0, sendsTo("a", "b")}, {100, checks}, {101, probed(true)}, {1000, checks}}, policy.PathUp},
+		"the third one was asked later":          {[]pathEvent{{0, sendsTo("a", "b")}, {100, checks}, {101, probed(true)}, {500, sendsTo("c")}, {1050, checks}}, policy.PathUp},
+		"a mute path takes a connection":         {[]pathEvent{{0, sendsTo("a", "b", "c")}, {1000, checks}, {1100, dials}, {1101, ends(4, policy.PathConnected)}}, policy.PathMute},
+		"a mute path answers a ping":             {[]pathEvent{{0, sendsTo("a", "b", "c")}, {1000, checks}, {1200, probed(true)}}, policy.PathUp},
+		"a path that is back is suspected anew":  {[]pathEvent{{0, dials}, {100, checks}, {300, probed(false)}, {500, probed(true)}, {600, checks}}, policy.PathSuspected},
+		"answers of all leaves are long overdue": {[]pathEvent{{0, sendsTo("a", "b", "c")}, {2000, checks}}, policy.PathMute},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var d policy.PathDetector
+			for _, e := range tt.events {
+				e.do(&d, e.at)
+			}
+			require.Equal(t, tt.want, d.Condition())
+		})
+	}
+}
+
+// TestRelayLoadFollowsProcessors guards against requests that crowd at the smallest gateways, or at one that refuses them.
+func TestRelayLoadFollowsProcessors(t *testing.T) {
+	c := policy.NewRelayChooser("derby")
+	c.SetRelays([]samphirepass.Relay{
+		{Address: "small", DataCentre: "derby", Capacity: samphirepass.Capacity{Cores: 0.2}},
+		{Address: "large", DataCentre: "derby", Capacity: samphirepass.Capacity{Cores: 0.8}},
+		{Address: "refusing", DataCentre: "derby", Capacity: samphirepass.Capacity{Cores: 0.8}},
+	})
+	c.End(0, "refusing", true)
+	taken := map[string]int{}
+	for range 100 {
+		address, ok := c.Begin(10, nil)
+		require.True(t, ok)
+		taken[address]++
+	}
+	require.Zero(t, taken["refusing"])
+	require.Greater(t, taken["large"], 2*taken["small"])
+	require.Equal(t, 100, c.InFlight())
+	_, ok := c.Begin(10, []string{"small", "large"})
+	require.False(t, ok, "all others have just refused")
+	address, ok := c.Begin(2000, []string{"small", "large"})
+	require.True(t, ok)
+	require.Equal(t, "refusing", address)
+}
