collector, directory: Collectors without a path to leaves take no parts

A collector says that it has no path: it refuses parts as not run and ends those under way. Gateways send these elsewhere, or repeat them with their token; being cut off counts neither as silence nor as overload. Registrars select collectors among gateways that have a path. A gateway without one takes no part itself.

--- a/collector.go
+++ b/collector.go
@@ -32,6 +32,8 @@
 	SilentMs Millis
 	// SinceFailureMs is the time since the candidate last failed or refused a request.
 	SinceFailureMs Millis
+	// NoPath is set for a while after the candidate said that it reaches no leaf.
+	NoPath bool
 }
 
 // CollectorCondition says whether an entry may send requests to a collector.
@@ -46,6 +48,8 @@
 	CollectorStalled CollectorCondition = "stalled"
 	// CollectorFailed means that a request has just failed or was refused.
 	CollectorFailed CollectorCondition = "failed"
+	// CollectorNoPath means that the collector has just said that it reaches no leaf.
+	CollectorNoPath CollectorCondition = "no-path"
 )
 
 // ShardPart is a subset of a request's shards that one entry collects.
--- a/collector/client.go
+++ b/collector/client.go
@@ -35,6 +35,8 @@
 	// degradedTTLMs is how long a shard is collected in another data centre after a collector reported it as degraded:
 	// longer than the collector remembers a leaf's slowness, and short compared with the faults that cause it.
 	degradedTTLMs samphirepass.Millis = 4000
+	// noPathTTLMs is how long a collector that said that it reaches no leaf is not asked again; asking it costs a round trip.
+	noPathTTLMs samphirepass.Millis = 1000
 	// maxCollectorTries is the number of collectors that are asked for one part before this entry asks the leaves itself.
 	maxCollectorTries = 2
 	// neverMs is used as the time since the last failure if there was none.
@@ -62,8 +64,10 @@
 	Collecting func() bool
 	// Capacity is the capacity of this entry.
 	Capacity samphirepass.Capacity
-	Clock    samphirepass.Clock
-	Log      logs.Logger
+	// Path is that of this entry to leaves; nil means that it is never lost.
+	Path  samphirepass.LeafPath
+	Clock samphirepass.Clock
+	Log   logs.Logger
 	// Metrics counts the parts that are delivered again; nil means that they are not counted.
 	Metrics *metrics.Metrics
 }
@@ -74,6 +78,8 @@
 	inFlight []samphirepass.Millis
 	failedAt samphirepass.Millis
 	failed   bool
+	// noPathUntil is the time until which the collector counts as reaching no leaf.
+	noPathUntil samphirepass.Millis
 	// plainUntil is the time until which parts are sent without tokens, as the collector does not know of them.
 	plainUntil samphirepass.Millis
 }
@@ -188,7 +194,7 @@
 		}
 		return result, rest
 	}
-	d = d.WithElapsed(c.opts.Clock.Now()-began)
+	d = d.WithElapsed(c.opts.Clock.Now() - began)
 	result = c.opts.Local.Deliver(ctx, d)
 	if result.Answered > 0 && result.Answered >= result.RequiredShards {
 		result.Merged = gateway.MergeReplies(d, result)
@@ -204,7 +210,7 @@
 	var candidateOffers []directory.CollectorOffer
 	c.mu.Lock()
 	for _, offer := range offers {
-		if !p.spread && p.DataCentre == c.opts.DataCentre && !offer.Capacity.SuitsOffloadFrom(c.opts.Capacity) {
+		if !p.spread && p.DataCentre == c.opts.DataCentre && !offer.Capacity.SuitsOffloadFrom(c.opts.Capacity) && !samphirepass.PathLost(c.opts.Path) {
 			continue
 		}
 		candidate := c.candidateLocked(offer)
@@ -239,6 +245,7 @@
 	if s.failed {
 		candidate.SinceFailureMs = now - s.failedAt
 	}
+	candidate.NoPath = now < s.noPathUntil
 	return candidate
 }
 
@@ -301,10 +308,13 @@
 	case notSent:
 		notSent = track.withdraw()
 	case err != nil:
-		track.setLost()
+		track.setLost(isNoPath(refusal))
 	}
 	// An error after the client went away does not count as a failure of the collector.
-	c.finishRequest(address, began, err != nil && ctx.Err() == nil && !errors.Is(err, errNoTokens))
+	c.finishRequest(address, began, err != nil && ctx.Err() == nil && !errors.Is(err, errNoTokens) && !isNoPath(refusal))
+	if isNoPath(refusal) {
+		c.setNoPath(address)
+	}
 	if err != nil {
 		c.opts.Log.RequestEvent("Collect request failed.", "request", d.Request.ID, "collector", address, "sent", !notSent,
 			"took-ms", int(c.opts.Clock.Now()-began), "reason", err.Error())
@@ -316,6 +326,18 @@
 	return reply.result(), rest, true
 }
 
+// isNoPath reports whether a collector said that it reaches no leaf.
+func isNoPath(refusal *samphirepass.Refusal) bool {
+	return refusal != nil && refusal.Code == samphirepass.CodeNoPath
+}
+
+// setNoPath records that a collector reaches no leaf.
+func (c *Client) setNoPath(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.collectors[address].noPathUntil = c.opts.Clock.Now() + noPathTTLMs
+}
+
 // callCollector sends a request to a collector, with a token for further attempts if track follows it. A repeat is sent without any token.
 func (c *Client) callCollector(ctx context.Context, address string, req collectRequest, track *sentPart) (reply collectReply, err error) {
 	peerClient := c.opts.Peers.Get(address)
--- a/collector/messages.go
+++ b/collector/messages.go
@@ -39,6 +39,18 @@
 	// Crashes and Survived are those of leaf.DeliveryResult.
 	Crashes  []samphirepass.LeafCrash
 	Survived bool
+	// NoPath is that of leaf.DeliveryResult.
+	NoPath bool
+}
+
+// noPathError returns the refusal of a delivery without a usable answer as the collector reaches no leaf any more, or nil.
+func (r collectReply) noPathError() error {
+	if !r.NoPath || r.Merged != nil {
+		return nil
+	}
+	refusal := samphirepass.RefuseUnknown("the collector reaches no leaf any more")
+	refusal.Code, refusal.NotRun = samphirepass.CodeNoPath, !r.MaybeRun
+	return refusal
 }
 
 // collectRestRequest asks for the complete result of a delivery of which the answers so far were returned, or releases it.
@@ -51,7 +63,7 @@
 	reply := collectReply{
 		Answered: result.Answered, Known: result.KnownShards, RequiredShards: result.RequiredShards, Extra: result.Extra, Attempts: result.Attempts,
 		MaybeRun: result.MaybeRun, LastLeaf: result.LastLeaf, DegradedShards: result.DegradedShards, Skipped: result.Skipped,
-		RetryAfterMs: result.RetryAfterMs, Crashes: result.Crashes, Survived: result.Survived,
+		RetryAfterMs: result.RetryAfterMs, Crashes: result.Crashes, Survived: result.Survived, NoPath: result.NoPath,
 	}
 	if result.LastErr != nil {
 		reply.LastError = result.LastErr.Error()
@@ -67,7 +79,7 @@
 	result := leaf.DeliveryResult{
 		Merged: r.Merged, Answered: r.Answered, KnownShards: r.Known, RequiredShards: r.RequiredShards, Extra: r.Extra,
 		Attempts: r.Attempts, MaybeRun: r.MaybeRun, LastLeaf: r.LastLeaf, DegradedShards: r.DegradedShards, Skipped: r.Skipped,
-		RetryAfterMs: r.RetryAfterMs, Crashes: r.Crashes, Survived: r.Survived,
+		RetryAfterMs: r.RetryAfterMs, Crashes: r.Crashes, Survived: r.Survived, NoPath: r.NoPath,
 	}
 	if r.LastError != "" {
 		result.LastErr = eris.New(r.LastError)
--- a/collector/parts.go
+++ b/collector/parts.go
@@ -166,7 +166,7 @@
 		}
 		complete := !slices.Contains(g.final, false)
 		switch {
-		case complete, g.missing(g.final, 0) > g.allowed:
+		case complete, g.missing(g.final, 0) > g.allowed && !g.allRefused():
 			return g.combine()
 		case isLate && g.missing(g.reported, 1) <= g.allowed:
 			return g.combine()
@@ -177,6 +177,17 @@
 	}
 }
 
+// allRefused reports whether all parts that ended did so before anything was sent, as no leaf is reached. The others may end alike: the
+// request can then be passed on as a whole.
+func (g *partGather) allRefused() bool {
+	for i, r := range g.results {
+		if g.final[i] && (!r.NoPath || r.MaybeRun || r.Answered > 0) {
+			return false
+		}
+	}
+	return true
+}
+
 // missing returns the number of shards that the selected parts lack, and unknown times the shards of the others.
 func (g *partGather) missing(selected []bool, unknown int) int {
 	n := 0
@@ -210,6 +221,7 @@
 		combined.Shed = combined.Shed || r.Shed
 		combined.Crashes = append(combined.Crashes, r.Crashes...)
 		combined.Survived = combined.Survived || r.Survived
+		combined.NoPath = combined.NoPath || (r.NoPath && r.Merged == nil)
 		if r.LastErr != nil {
 			combined.LastErr, combined.LastLeaf = r.LastErr, r.LastLeaf
 		}
--- a/collector/repeat.go
+++ b/collector/repeat.go
@@ -62,13 +62,14 @@
 	number  uint64
 	token   *policy.AttemptToken
 	lost    bool
+	noPath  bool
 }
 
 // start records that the part is sent to a collector with a new token, and returns its number.
 func (s *sentPart) start(address string, now samphirepass.Millis) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.address, s.sentAt, s.lost = address, now, false
+	s.address, s.sentAt, s.lost, s.noPath = address, now, false, false
 	s.number, s.token = s.table.add()
 	return s.number
 }
@@ -85,18 +86,18 @@
 		return false
 	}
 	s.table.remove(s.number)
-	s.address, s.token, s.lost = "", nil, false
+	s.address, s.token, s.lost, s.noPath = "", nil, false, false
 	return true
 }
 
-// setLost records that the collector was lost or failed. It does nothing if s is nil.
-func (s *sentPart) setLost() {
+// setLost records that the collector was lost or failed, or that it reaches no leaf. It does nothing if s is nil.
+func (s *sentPart) setLost(noPath bool) {
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lost = true
+	s.lost, s.noPath = !noPath, noPath
 }
 
 // end makes the token unavailable once the part needs no further attempts. It does nothing if s is nil.
@@ -125,7 +126,7 @@
 	}
 	silent, connected := c.opts.Peers.Get(s.address).SinceLastFrame()
 	return policy.SentPart{
-		Pending: pending, Repeatable: s.token != nil && s.token.Holder() == policy.TokenFree, Lost: s.lost || !connected,
+		Pending: pending, Repeatable: s.token != nil && s.token.Holder() == policy.TokenFree, Lost: s.lost || !connected, NoPath: s.noPath,
 		SilentMs: min(silent, c.opts.Clock.Now()-s.sentAt),
 	}
 }
--- a/collector/repeat_test.go
+++ b/collector/repeat_test.go
@@ -110,6 +110,7 @@
 type fleetMember struct {
 	relay  *standin.Relay
 	frozen atomic.Bool
+	path   testPath
 	end    func()
 }
 
@@ -128,12 +129,14 @@
 	leaves  *leafStandIns
 	members []*fleetMember
 	client  *collector.Client
+	// path is that of the entry to leaves.
+	path    testPath
 	metrics *metrics.Metrics
 	nextID  atomic.Int64
 }
 
 // newFleetDeliverer returns a deliverer that knows the leaves of all shards.
-func newFleetDeliverer(leaves *leafStandIns, frozen *atomic.Bool, slack float64) (*leaf.Deliverer, *leaf.Registry) {
+func newFleetDeliverer(leaves *leafStandIns, frozen *atomic.Bool, path samphirepass.LeafPath, slack float64) (*leaf.Deliverer, *leaf.Registry) {
 	r := leaf.NewRegistry(clock)
 	for i := range fleetShards {
 		for replica := range fleetReplicas {
@@ -147,7 +150,7 @@
 	budgets := map[samphirepass.Service]samphirepass.Budget{}
 	return leaf.NewDeliverer(leaf.DelivererOptions{
 		Registry: r, Pool: leaf.NewPool(clock, unlimitedShares{}), Sender: senderOf{leaves, frozen}, DataCentre: "derby",
-		Chooser: policy.LeastCostChooser{}, Clock: clock, ExtraPercent: 15,
+		Chooser: policy.LeastCostChooser{}, Clock: clock, ExtraPercent: 15, Path: path,
 		Budget: func(s samphirepass.Service) samphirepass.Budget {
 			mu.Lock()
 			defer mu.Unlock()
@@ -168,9 +171,11 @@
 	var offers []directory.CollectorOffer
 	for range fleetCollectors {
 		m := &fleetMember{}
-		deliverer, _ := newFleetDeliverer(f.leaves, &m.frozen, slack)
+		deliverer, _ := newFleetDeliverer(f.leaves, &m.frozen, &m.path, slack)
 		handlers := peer.NewHandlers()
-		collector.NewServer(deliverer, func() bool { return false }, metrics.NewMetrics(), logs.Logger{}).Register(handlers)
+		collects := collector.NewServer(deliverer, func() bool { return false }, metrics.NewMetrics(), logs.Logger{})
+		collects.Path = &m.path
+		collects.Register(handlers)
 		if prepare != nil {
 			prepare(handlers)
 		}
@@ -193,13 +198,13 @@
 		f.members = append(f.members, m)
 		offers = append(offers, directory.CollectorOffer{Address: m.relay.Address(), DataCentre: "derby", Capacity: samphirepass.Capacity{Cores: 0.2}})
 	}
-	own, r := newFleetDeliverer(f.leaves, &atomic.Bool{}, slack)
+	own, r := newFleetDeliverer(f.leaves, &atomic.Bool{}, &f.path, slack)
 	peers := &peer.Pool{}
 	t.Cleanup(peers.Close)
 	f.client = collector.NewClient(collector.Options{
 		VM: "small", Local: own, Registry: r, Peers: peers, Offers: func() []directory.CollectorOffer { return slices.Clone(offers) },
 		Shards: func() []samphirepass.Service { return f.delivery().Shards }, DataCentre: "derby", Capacity: samphirepass.Capacity{Cores: 0.2}, Clock: clock,
-		Metrics: f.metrics,
+		Metrics: f.metrics, Path: &f.path,
 	})
 	serveUntilConnected(t, f.client, peers, offers)
 	return f
--- a/collector/server.go
+++ b/collector/server.go
@@ -28,6 +28,8 @@
 	OnEvacuations func(samphirepass.Evacuations)
 	// EvacuationRevision returns the revision of the evacuations in force here; nil means that there are none.
 	EvacuationRevision func() samphirepass.Revision
+	// Path is that of this process to leaves; nil means that it is never lost.
+	Path samphirepass.LeafPath
 
 	deliverer gateway.Deliverer
 	stopping  func() bool
@@ -108,6 +110,10 @@
 	if s.stopping() {
 		return collectReply{}, samphirepass.Refuse(samphirepass.CodeStopping, "the collector is stopping")
 	}
+	if samphirepass.PathLost(s.Path) {
+		s.load.addRefused()
+		return collectReply{}, samphirepass.Refuse(samphirepass.CodeNoPath, "the collector reaches no leaf")
+	}
 	if req.Evacuations.Revision > 0 && s.OnEvacuations != nil {
 		s.OnEvacuations(req.Evacuations)
 	}
@@ -127,7 +133,7 @@
 	// The times of the delivery count from its sending.
 	transit := peer.Age(ctx)
 	took := s.clock.Now()
-	d = d.WithElapsed(transit+took-arrived)
+	d = d.WithElapsed(transit + took - arrived)
 	// The delivery outlives this call if the answers so far are returned.
 	deliverCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.Request.DeadlineMs.Duration())
 	callEnded := context.AfterFunc(ctx, cancel)
@@ -144,7 +150,7 @@
 	select {
 	case reply := <-done:
 		callEnded()
-		return reply, nil
+		return reply, reply.noPathError()
 	case reply := <-partial:
 		if callEnded() {
 			reply.Unfinished = s.addUnfinished(done, cancel)
--- a/collector/split.go
+++ b/collector/split.go
@@ -41,10 +41,15 @@
 		usableOffers = append(usableOffers, c.usableCollectors(inDataCentre)...)
 	}
 	usable := c.offerDataCentres(usableOffers)
+	own := c.opts.DataCentre
+	if samphirepass.PathLost(c.opts.Path) && !slices.Contains(usable, own) {
+		// Nobody here collects the shards that have leaves here.
+		own = ""
+	}
 	for range maxSplits {
-		parts := policy.SplitShards(dataCentres, c.opts.DataCentre, all)
+		parts := policy.SplitShards(dataCentres, own, all)
 		isUnusable := func(dataCentre samphirepass.DataCentre) bool {
-			return dataCentre != c.opts.DataCentre && !slices.Contains(usable, dataCentre) && slices.ContainsFunc(parts, func(p samphirepass.ShardPart) bool { return p.DataCentre == dataCentre })
+			return dataCentre != own && !slices.Contains(usable, dataCentre) && slices.ContainsFunc(parts, func(p samphirepass.ShardPart) bool { return p.DataCentre == dataCentre })
 		}
 		if !slices.ContainsFunc(all, isUnusable) {
 			return parts
@@ -53,7 +58,7 @@
 		c.connectTo(parts, offers)
 		all = slices.DeleteFunc(all, isUnusable)
 	}
-	return policy.SplitShards(dataCentres, c.opts.DataCentre, usable)
+	return policy.SplitShards(dataCentres, own, usable)
 }
 
 // offerSnapshot is what this entry knew of the collectors at one time.
--- a/collector/spread.go
+++ b/collector/spread.go
@@ -26,7 +26,7 @@
 	local bool
 }
 
-// collectorsIn returns the collectors of a data centre, this entry among them if it collects.
+// collectorsIn returns the collectors of a data centre, this entry among them if it collects and reaches leaves.
 func (c *Client) collectorsIn(dataCentre samphirepass.DataCentre, offers []directory.CollectorOffer) []directory.CollectorOffer {
 	var collectors []directory.CollectorOffer
 	for _, offer := range offers {
@@ -34,7 +34,7 @@
 			collectors = append(collectors, offer)
 		}
 	}
-	if dataCentre == c.opts.DataCentre && c.opts.Collecting != nil && c.opts.Collecting() {
+	if dataCentre == c.opts.DataCentre && c.opts.Collecting != nil && c.opts.Collecting() && !samphirepass.PathLost(c.opts.Path) {
 		collectors = append(collectors, directory.CollectorOffer{Address: c.opts.Address, DataCentre: dataCentre, Capacity: c.opts.Capacity})
 	}
 	return collectors
--- a/collector/spread_test.go
+++ b/collector/spread_test.go
@@ -39,6 +39,23 @@
 
 // startEntryForSpreadWith does the same with the leaves of a registry.
 func startEntryForSpreadWith(t *testing.T, d leaf.Delivery, collectors []*testCollector, r *leaf.Registry) (*collector.Client, *fakeDeliverer) {
+	t.Helper()
+	return startEntryWith(t, d, collectors, r, nil)
+}
+
+// startEntryWithoutPath is startEntryForSpread for an entry that reaches no leaf.
+func startEntryWithoutPath(t *testing.T, d leaf.Delivery, collectors []*testCollector) (*collector.Client, *fakeDeliverer) {
+	t.Helper()
+	r := leaf.NewRegistry(clock)
+	for _, s := range d.Shards {
+		announce(r, s, "derby")
+	}
+	path := &testPath{}
+	path.lose()
+	return startEntryWith(t, d, collectors, r, path)
+}
+
+func startEntryWith(t *testing.T, d leaf.Delivery, collectors []*testCollector, r *leaf.Registry, path samphirepass.LeafPath) (*collector.Client, *fakeDeliverer) {
 	t.Helper()
 	var offers []directory.CollectorOffer
 	for i, tc := range collectors {
@@ -54,6 +71,7 @@
 	c := collector.NewClient(collector.Options{
 		VM: "small", Local: ownDeliverer, Registry: r, Peers: peers, Offers: func() []directory.CollectorOffer { return slices.Clone(offers) },
 		Shards: func() []samphirepass.Service { return d.Shards }, DataCentre: "derby", Capacity: samphirepass.Capacity{Cores: 0.2}, Clock: clock,
+		Path: path,
 	})
 	serveUntilConnected(t, c, peers, offers)
 	return c, ownDeliverer
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -120,12 +120,12 @@
 		Chooser: g.chooser(), Clock: clock, Budget: g.retryBudget, ExtraPercent: extraPercent, Path: g.path,
 	})
 	g.collectorServer = collector.NewServer(g.deliverer, g.refusesParts, g.metrics, log.For("collector"))
-	g.collectorServer.OnEvacuations = g.applyEvacuations
+	g.collectorServer.OnEvacuations, g.collectorServer.Path = g.applyEvacuations, g.path
 	g.collectorServer.EvacuationRevision = func() samphirepass.Revision { return g.registry.Evacuations().Revision }
 	g.collectorClient = collector.NewClient(collector.Options{
 		VM: cfg.VM, Local: g.deliverer, Registry: g.registry, Peers: g.peers, Offers: g.follower.Offers, Shards: g.shards, DataCentre: cfg.DataCentre,
 		Address: cfg.CollectAddress(), Collecting: g.follower.IsCollector, Capacity: cfg.Capacity(), Clock: clock, Log: log.For("collector"),
-		Metrics: g.metrics,
+		Metrics: g.metrics, Path: g.path,
 	})
 	g.relayClient = relay.NewClient(relay.Options{
 		Local: g.collectorClient, Registry: g.registry, Path: g.path, Relays: g.follower.Relays, DataCentre: cfg.DataCentre, Clock: clock, Metrics: g.metrics,
--- a/directory/offers.go
+++ b/directory/offers.go
@@ -18,7 +18,7 @@
 // later that it is not selected any more.
 const deselectionDelayMs samphirepass.Millis = followerTTLMs + 4000
 
-// directOffers returns the offers of the collectors among the entries that follow this source.
+// directOffers returns the offers of the collectors among the entries that follow this source. Those that reach no leaf are none.
 func (s *Source) directOffers() []CollectorOffer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -38,7 +38,7 @@
 		if smallest == (samphirepass.Capacity{}) || f.capacity.Cores < smallest.Cores {
 			smallest = f.capacity
 		}
-		if f.collectAddress != "" {
+		if f.collectAddress != "" && !f.noPath {
 			offers = append(offers, CollectorOffer{Address: f.collectAddress, DataCentre: f.endpoint.DataCentre, Capacity: f.capacity})
 		}
 	}
--- a/policy/collect.go
+++ b/policy/collect.go
@@ -39,6 +39,8 @@
 	switch {
 	case !c.Connected:
 		return samphirepass.CollectorDisconnected
+	case c.NoPath:
+		return samphirepass.CollectorNoPath
 	case c.SilentMs > idleSilenceMs, c.SilentMs > CollectorSilenceMs && c.OldestInFlightMs > CollectorSilenceMs:
 		return samphirepass.CollectorSilent
 	case c.OldestInFlightMs > collectorStallMs:
--- a/policy/repeat.go
+++ b/policy/repeat.go
@@ -87,13 +87,15 @@
 	Repeatable bool
 	// Lost is set if the connection was lost or the collector failed after the part was sent.
 	Lost bool
+	// NoPath is set if the collector said that it reaches no leaf any more.
+	NoPath bool
 	// SilentMs is the time since the last frame of the collector, or since the part was sent if that is less.
 	SilentMs samphirepass.Millis
 }
 
 // looksDead reports whether a part's collector shows no sign of life.
 func (p SentPart) looksDead(delay samphirepass.Millis) bool {
-	return p.Pending && (p.Lost || p.SilentMs >= delay)
+	return p.Pending && !p.NoPath && (p.Lost || p.SilentMs >= delay)
 }
 
 // RepeatConditions are the conditions of an entry when it decides which parts of a request to repeat.
@@ -106,26 +108,29 @@
 	RemainingMs samphirepass.Millis
 }
 
-// PartsToRepeat returns the indices of the parts to deliver again. It returns none if too many collectors look dead at once, or if this
-// process itself was late.
+// PartsToRepeat returns the indices of the parts to deliver again. If too many collectors look dead at once these are only the parts of
+// collectors that said that they reach no leaf; if this process itself was late there are none.
 func PartsToRepeat(parts []SentPart, c RepeatConditions) []int {
 	if c.LateMs >= repeatLatenessMs || c.RemainingMs < minRepeatTimeMs {
 		return nil
 	}
 	silent := 0
-	var repeat []int
+	var repeat, dead []int
 	for i, p := range parts {
+		if p.Pending && p.Repeatable && p.NoPath {
+			repeat = append(repeat, i)
+		}
 		if p.looksDead(silentDelayShare * c.DelayMs) {
 			silent++
 		}
 		if p.Repeatable && p.looksDead(c.DelayMs) {
-			repeat = append(repeat, i)
+			dead = append(dead, i)
 		}
 	}
 	if float64(silent) > maxSilentShare*float64(len(parts)) {
-		return nil
+		return repeat
 	}
-	return repeat
+	return append(repeat, dead...)
 }
 
 // NextRepeatCheck returns the time until a part may be found dead, and false if there is no part to look at. A check that led to nothing is
@@ -136,7 +141,7 @@
 		switch {
 		case !p.Pending:
 			continue
-		case p.Repeatable && p.SilentMs >= delay:
+		case p.Repeatable && (p.NoPath || p.SilentMs >= delay):
 			next = min(next, repeatMarginMs)
 		case p.Repeatable:
 			next = min(next, delay-p.SilentMs)
