leaf: A cut that refuses connections is no crash of a leaf

A gateway whose links break and refuse new connections takes each leaf for crashed by the request that it ran: the request is suspected, sent alone, and its fingerprint is kept from all leaves by all gateways, though nothing is wrong with it. It now counts as a crash only if another leaf shows a sign of life after the connection broke.

--- a/leaf/path.go
+++ b/leaf/path.go
@@ -273,3 +273,14 @@
 	var timeout net.Error
 	return err == nil || (errors.As(err, &timeout) && timeout.Timeout())
 }
+
+// reachedSince reports whether a leaf has shown a sign of life since a time, or does now. A nil monitor takes that for granted.
+func (m *PathMonitor) reachedSince(ctx context.Context, since samphirepass.Millis) bool {
+	if m == nil {
+		return true
+	}
+	m.mu.Lock()
+	contact := m.detector.ContactSince(since)
+	m.mu.Unlock()
+	return contact || m.probe(ctx)
+}
--- a/leaf/path_test.go
+++ b/leaf/path_test.go
@@ -144,3 +144,43 @@
 	require.Equal(t, int64(15), r.requests.Load())
 	require.LessOrEqual(t, r.connections.Load(), r.requests.Load(), "each connection was opened for a request")
 }
+
+// TestProofCutIsNoCrash guards against leaves that seem to have crashed under a request, which is then kept from all leaves, as a cut
+// broke the connections and refuses new ones.
+func TestProofCutIsNoCrash(t *testing.T) {
+	for name, cut := range map[string]bool{"all leaves are cut off": true, "one leaf has ended": false} {
+		t.Run(name, func(t *testing.T) {
+			r := newPathRig(t, 3)
+			for _, l := range r.links[1:] {
+				l.SetDefault(standin.LinkPass)
+			}
+			ended, _ := net.Listen("tcp", "127.0.0.1:0")
+			to := r.leaves[0]
+			to.Leaf, to.Address = "ended", ended.Addr().String()
+			go func() {
+				c, err := ended.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Read(make([]byte, 1))
+				if cut {
+					for _, l := range r.links {
+						l.Close()
+					}
+				}
+				_ = ended.Close()
+				_ = c.Close()
+			}()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			_, err := r.sender.Send(ctx, to, samphirepass.Attempt{Request: "r1", ExpectedMs: 20, ExpiresAtMs: samphirepass.SystemClock{}.Now() + 2000})
+			var failure *samphirepass.AttemptError
+			require.ErrorAs(t, err, &failure)
+			want := samphirepass.FailureCrashed
+			if cut {
+				want = samphirepass.FailureLost
+			}
+			require.Equal(t, want, failure.Kind)
+		})
+	}
+}
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -130,7 +130,7 @@
 		if isMismatch(err) {
 			pc.close()
 		}
-		if hasCrashed(ctx, pc, to, err) {
+		if s.hasCrashed(ctx, pc, to, err) {
 			err = attemptError(samphirepass.FailureCrashed, err)
 		}
 		s.pool.noteEnd(to, err)
@@ -222,8 +222,8 @@
 }
 
 // hasCrashed reports whether a leaf has ended since it was sent an attempt whose connection broke. Otherwise the connection that it opens
-// serves the next attempt.
-func hasCrashed(ctx context.Context, pc *pooledConn, to samphirepass.Announcement, err error) bool {
+// serves the next attempt. While no other leaf is reached, nothing is known of this one.
+func (s *Sender) hasCrashed(ctx context.Context, pc *pooledConn, to samphirepass.Announcement, err error) bool {
 	var failure *samphirepass.AttemptError
 	if ctx.Err() != nil || !errors.As(err, &failure) || failure.Kind != samphirepass.FailureLost {
 		return false
@@ -231,10 +231,11 @@
 	if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
 		return false
 	}
+	broke := s.clock.Now()
 	pc.close()
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeoutMs.Duration())
 	defer cancel()
-	return errors.Is(pc.connect(ctx, to.Address), syscall.ECONNREFUSED)
+	return errors.Is(pc.connect(ctx, to.Address), syscall.ECONNREFUSED) && s.Path.reachedSince(ctx, broke)
 }
 
 // handleNotice heeds and passes on what the leaf says of itself. An answer that is not its own counts for nothing, and a failure that names
