leaf, collector: A gateway that reaches leaves on open connections only sends nothing on new ones

The first cut had left collectors with few open connections, and a part of a request lacks all of them if one shard's leaves are not reached: each collector lacked another shard.

Such a path is narrow: only leaves with an open connection get requests, nothing else is dialled, and a delivery that lacks a leaf of some shard is given up unsent, to be collected or passed on elsewhere. Idle connections that are open go first. When a path is back, a collector opens its connections anew.

--- a/collector/client.go
+++ b/collector/client.go
@@ -37,8 +37,10 @@
 	degradedTTLMs samphirepass.Millis = 4000
 	// noPathTTLMs is how long a collector that said that it reaches no leaf is not asked again; asking it costs a round trip.
 	noPathTTLMs samphirepass.Millis = 1000
-	// maxCollectorTries is the number of collectors that are asked for one part before this entry asks the leaves itself.
+	// maxCollectorTries is the number of collectors that are asked for one part before this entry asks the leaves itself, triesWithoutPath
+	// the same for an entry that does not reach them all.
 	maxCollectorTries = 2
+	triesWithoutPath  = 5
 	// neverMs is used as the time since the last failure if there was none.
 	neverMs samphirepass.Millis = 1e9
 )
@@ -174,7 +176,11 @@
 // delivered again.
 func (c *Client) deliverPart(ctx context.Context, d leaf.Delivery, p part, track *sentPart, dataCentres [][]samphirepass.DataCentre, offers []directory.CollectorOffer) (result leaf.DeliveryResult, rest restFunc) {
 	began := c.opts.Clock.Now()
-	for try := range maxCollectorTries {
+	tries := maxCollectorTries
+	if samphirepass.PathLost(c.opts.Path) || samphirepass.PathNarrow(c.opts.Path) {
+		tries = triesWithoutPath
+	}
+	for try := range tries {
 		offer, ok := p.collector, p.spread
 		if p.local {
 			break
@@ -308,7 +314,7 @@
 	case notSent:
 		notSent = track.withdraw()
 	case err != nil:
-		track.setLost(isNoPath(refusal))
+		track.setLost(isNoPath(refusal) || (refusal != nil && refusal.Code == samphirepass.CodeUnavailable))
 	}
 	// An error after the client went away does not count as a failure of the collector.
 	c.finishRequest(address, began, err != nil && ctx.Err() == nil && !errors.Is(err, errNoTokens) && !isNoPath(refusal))
--- a/collector/messages.go
+++ b/collector/messages.go
@@ -39,17 +39,21 @@
 	// Crashes and Survived are those of leaf.DeliveryResult.
 	Crashes  []samphirepass.LeafCrash
 	Survived bool
-	// NoPath is that of leaf.DeliveryResult.
-	NoPath bool
+	// NoPath and Unreached are those of leaf.DeliveryResult.
+	NoPath, Unreached bool
 }
 
-// noPathError returns the refusal of a delivery without a usable answer as the collector reaches no leaf any more, or nil.
-func (r collectReply) noPathError() error {
-	if !r.NoPath || r.Merged != nil {
+// noPathError returns the refusal of a delivery without a usable answer as the collector reaches no leaf of some shards any more, or nil.
+// Those of others may still be reached if the path is narrow.
+func (r collectReply) noPathError(narrow bool) error {
+	if r.Merged != nil || (!r.NoPath && !(narrow && r.Unreached)) {
 		return nil
 	}
-	refusal := samphirepass.RefuseUnknown("the collector reaches no leaf any more")
+	refusal := samphirepass.RefuseUnknown("the collector reaches no leaf of some shards any more")
 	refusal.Code, refusal.NotRun = samphirepass.CodeNoPath, !r.MaybeRun
+	if narrow {
+		refusal.Code = samphirepass.CodeUnavailable
+	}
 	return refusal
 }
 
@@ -63,7 +67,7 @@
 	reply := collectReply{
 		Answered: result.Answered, Known: result.KnownShards, RequiredShards: result.RequiredShards, Extra: result.Extra, Attempts: result.Attempts,
 		MaybeRun: result.MaybeRun, LastLeaf: result.LastLeaf, DegradedShards: result.DegradedShards, Skipped: result.Skipped,
-		RetryAfterMs: result.RetryAfterMs, Crashes: result.Crashes, Survived: result.Survived, NoPath: result.NoPath,
+		RetryAfterMs: result.RetryAfterMs, Crashes: result.Crashes, Survived: result.Survived, NoPath: result.NoPath, Unreached: result.Unreached,
 	}
 	if result.LastErr != nil {
 		reply.LastError = result.LastErr.Error()
@@ -79,7 +83,7 @@
 	result := leaf.DeliveryResult{
 		Merged: r.Merged, Answered: r.Answered, KnownShards: r.Known, RequiredShards: r.RequiredShards, Extra: r.Extra,
 		Attempts: r.Attempts, MaybeRun: r.MaybeRun, LastLeaf: r.LastLeaf, DegradedShards: r.DegradedShards, Skipped: r.Skipped,
-		RetryAfterMs: r.RetryAfterMs, Crashes: r.Crashes, Survived: r.Survived, NoPath: r.NoPath,
+		RetryAfterMs: r.RetryAfterMs, Crashes: r.Crashes, Survived: r.Survived, NoPath: r.NoPath, Unreached: r.Unreached,
 	}
 	if r.LastError != "" {
 		result.LastErr = eris.New(r.LastError)
--- a/collector/path_test.go
+++ b/collector/path_test.go
@@ -18,6 +18,8 @@
 	lost chan struct{}
 }
 
+func (p *testPath) Narrow() bool { return false }
+
 func (p *testPath) Lost() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/collector/server.go
+++ b/collector/server.go
@@ -150,7 +150,7 @@
 	select {
 	case reply := <-done:
 		callEnded()
-		return reply, reply.noPathError()
+		return reply, reply.noPathError(samphirepass.PathNarrow(s.Path))
 	case reply := <-partial:
 		if callEnded() {
 			reply.Unfinished = s.addUnfinished(done, cancel)
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -60,6 +60,7 @@
 	collectorClient *collector.Client
 	collectorServer *collector.Server
 	path            *leaf.PathMonitor
+	preconnector    *leaf.Preconnector
 	relayClient     *relay.Client
 	relayServer     *relay.Server
 	peerWS          *peer.Server
@@ -103,6 +104,7 @@
 	g.path = leaf.NewPathMonitor(leaf.PathMonitorOptions{
 		Registry: g.registry, Pool: g.pool, Protocol: platform.LeafProtocol{}, DataCentre: cfg.DataCentre, Clock: clock, OnChange: g.notePathChange,
 	})
+	g.preconnector = leaf.NewPreconnector(g.registry, g.pool, routingShares{g}.wantsPreconnect)
 	quarantine := policy.NewQuarantine(clock)
 	g.follower = directory.NewFollower(directory.FollowerOptions{
 		VM: cfg.VM, DataCentre: cfg.DataCentre, Seeds: cfg.SeedPeers(), Registry: g.registry, Peers: g.peers, Quarantine: quarantine,
@@ -195,11 +197,16 @@
 func (g *Gateway) notePathChange(c leaf.PathChange) {
 	lost := samphirepass.PathLost(g.path)
 	g.metrics.SetPathLost(lost)
-	if lost {
-		g.log.For("path").Event("Path to leaves lost.", "condition", c.Condition, "since-contact-ms", int(c.SinceContactMs))
-		return
+	log := g.log.For("path")
+	switch {
+	case lost:
+		log.Event("Path to leaves lost.", "condition", c.Condition, "since-contact-ms", int(c.SinceContactMs))
+	case c.Narrow:
+		log.Event("Leaves are reached on open connections only.")
+	default:
+		log.Event("Path to leaves is back.", "lost-ms", int(c.LostMs))
+		g.preconnector.Forget()
 	}
-	g.log.For("path").Event("Path to leaves is back.", "lost-ms", int(c.LostMs))
 }
 
 // applyRouting puts a routing document in force if it is newer than the one in force.
@@ -310,7 +317,7 @@
 	supervisor := newSupervisor(serveCtx, "gateway", log, map[string]suture.Service{
 		"directory follower":   g.follower,
 		"connection refresher": connectionRefresher{g},
-		"preconnector":         leaf.NewPreconnector(g.registry, g.pool, routingShares{g}.wantsPreconnect),
+		"preconnector":         g.preconnector,
 		"client server":        g.clientServer,
 		"readiness server":     g.readinessServer,
 		"metrics server":       g.metricsServer,
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -74,7 +74,7 @@
 // a request needs many at once, and not if collectors ask the leaves for this gateway. Whether they do is unknown until
 // offerDiscoveryMs after the start. A collector to which requests are spread asks a leaf elsewhere only if one nearby fails.
 func (s routingShares) wantsPreconnect(a samphirepass.Announcement) bool {
-	if !s.g.isShard(a.Service) || samphirepass.PathLost(s.g.path) {
+	if !s.g.isShard(a.Service) || samphirepass.PathLost(s.g.path) || samphirepass.PathNarrow(s.g.path) {
 		return false
 	}
 	if s.g.follower.IsCollector() {
--- a/directory/relays_test.go
+++ b/directory/relays_test.go
@@ -17,6 +17,8 @@
 // switchedPath is a path to leaves that a test loses and restores.
 type switchedPath struct{ lost atomic.Bool }
 
+func (p *switchedPath) Narrow() bool { return false }
+
 func (p *switchedPath) Lost() <-chan struct{} {
 	c := make(chan struct{})
 	if p.lost.Load() {
--- a/leaf/conn.go
+++ b/leaf/conn.go
@@ -70,6 +70,8 @@
 	failedAtMs samphirepass.Millis
 	// answeredAtMs is the time of the last answer, 0 before the first.
 	answeredAtMs samphirepass.Millis
+	// answered is set once an answer has arrived on the open connection.
+	answered bool
 	// idleTimeoutMs is the idle timeout that the leaf announced in its Keep-Alive header, 0 if there was none.
 	idleTimeoutMs samphirepass.Millis
 	// beforeWrite is called right before a request is written, and keeps it from being sent by an error; it may be nil.
@@ -105,7 +107,7 @@
 	if err != nil {
 		return fmt.Errorf("dial leaf: %w", err)
 	}
-	pc.conn = c
+	pc.conn, pc.answered = c, false
 	pc.bounded = boundedReader{source: c}
 	if pc.reader == nil {
 		pc.reader = bufio.NewReaderSize(&pc.bounded, readBufferBytes)
--- a/leaf/connorder.go
+++ b/leaf/connorder.go
@@ -79,11 +79,9 @@
 		p.fair = policy.NewFairQueue[chan *pooledConn](p.use, maxWaitingAttempts)
 		p.fair.SetServers(p.maxConns)
 	}
-	var pc *pooledConn
-	switch n := len(p.idle); {
-	case n > 0:
-		pc = p.idle[n-1]
-		p.idle = p.idle[:n-1]
+	pc := p.takeIdle()
+	switch {
+	case pc != nil:
 	case p.total < p.maxConns:
 		p.total++
 		pc = &pooledConn{dialer: p.dialer}
--- a/leaf/connpool.go
+++ b/leaf/connpool.go
@@ -61,6 +61,30 @@
 	return true
 }
 
+// isReachable reports whether a connection is open or in use.
+func (p *connPool) isReachable() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.total > len(p.idle) || slices.ContainsFunc(p.idle, (*pooledConn).isOpen)
+}
+
+// takeIdle removes the most recently used idle connection, an open one if there is any, and returns it; it is nil if there is none.
+func (p *connPool) takeIdle() *pooledConn {
+	if len(p.idle) == 0 {
+		return nil
+	}
+	i := len(p.idle) - 1
+	for j := i; j >= 0; j-- {
+		if p.idle[j].conn != nil {
+			i = j
+			break
+		}
+	}
+	pc := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
+	return pc
+}
+
 // acquire returns the most recently used idle connection, or a new one within the limit, or waits for one until ctx ends, the
 // attempt is withdrawn or the data centre of the leaf is evacuated.
 func (p *connPool) acquire(ctx context.Context, permit *samphirepass.SendPermit, gate *evacuationGate, dc samphirepass.DataCentre) (*pooledConn, error) {
@@ -69,9 +93,7 @@
 		return nil, errEvacuated
 	}
 	p.mu.Lock()
-	if n := len(p.idle); n > 0 {
-		pc := p.idle[n-1]
-		p.idle = p.idle[:n-1]
+	if pc := p.takeIdle(); pc != nil {
 		p.mu.Unlock()
 		if pc.nearIdleTimeout(p.clock.Now()) {
 			pc.close()
@@ -156,12 +178,15 @@
 	return nil
 }
 
-// acquireNew returns a new connection if the pool is empty and may hold one, or nil.
+// acquireNew returns a connection to open if the pool may hold one and none is open, or nil.
 func (p *connPool) acquireNew() *pooledConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.total > 0 || p.maxConns < 1 {
+	switch {
+	case p.maxConns < 1 || p.total > len(p.idle) || slices.ContainsFunc(p.idle, func(pc *pooledConn) bool { return pc.conn != nil }):
 		return nil
+	case len(p.idle) > 0:
+		return p.takeIdle()
 	}
 	p.total++
 	return &pooledConn{dialer: p.dialer}
--- a/leaf/deliver.go
+++ b/leaf/deliver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 
 	"samphirepass"
@@ -259,6 +260,18 @@
 	return allowed
 }
 
+// keepConnected removes the leaves to which no connection is open, and returns the number of shards that keep any.
+func (d *Deliverer) keepConnected(leaves [][]Registration) int {
+	n := 0
+	for i := range leaves {
+		leaves[i] = slices.DeleteFunc(leaves[i], func(reg Registration) bool { return !d.pool.target(reg.Announcement).conns.isReachable() })
+		if len(leaves[i]) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Covered counts the shards with at least one eligible leaf.
 func (d *Deliverer) Covered(shards []samphirepass.Service) int {
 	n := 0
@@ -296,7 +309,8 @@
 			result.KnownShards++
 		}
 	}
-	if samphirepass.PathLost(d.path) {
+	// On a narrow path another process may reach the shards that this one does not.
+	if samphirepass.PathLost(d.path) || (samphirepass.PathNarrow(d.path) && d.keepConnected(leaves) < result.KnownShards) {
 		result.LastErr, result.NoPath = samphirepass.ErrNoPath, true
 		return result
 	}
--- a/leaf/path.go
+++ b/leaf/path.go
@@ -33,13 +33,15 @@
 	Protocol   samphirepass.LeafProtocol
 	DataCentre samphirepass.DataCentre
 	Clock      samphirepass.Clock
-	// OnChange is called when the path is lost and when it is back.
+	// OnChange is called when the path is lost, when it is narrow and when it is back.
 	OnChange func(PathChange)
 }
 
-// PathChange says that the path to leaves was lost or is back.
+// PathChange says that the path to leaves was lost, is narrow or is back.
 type PathChange struct {
 	Condition policy.PathCondition
+	// Narrow is set if leaves are reached on open connections only.
+	Narrow bool
 	// SinceContactMs is the time since a leaf last showed a sign of life before the change, LostMs the time for which the path was lost.
 	SinceContactMs, LostMs samphirepass.Millis
 }
@@ -52,9 +54,10 @@
 	mu       sync.Mutex
 	detector policy.PathDetector
 	// lost is closed while the path is lost, at lostAt.
-	lost   chan struct{}
-	isLost bool
-	lostAt samphirepass.Millis
+	lost     chan struct{}
+	isLost   bool
+	isNarrow bool
+	lostAt   samphirepass.Millis
 	// armedFor is the time at which Serve checks next, 0 if it waits for wake.
 	armedFor samphirepass.Millis
 	wake     chan struct{}
@@ -72,6 +75,16 @@
 	return m.lost
 }
 
+// Narrow implements samphirepass.LeafPath.
+func (m *PathMonitor) Narrow() bool {
+	if m == nil {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isNarrow
+}
+
 // update calls change with the detector and publishes what follows from it.
 func (m *PathMonitor) update(change func(d *policy.PathDetector, now samphirepass.Millis)) {
 	m.mu.Lock()
@@ -85,20 +98,21 @@
 			m.wakeLocked()
 		}
 	}
-	lost := m.detector.IsLost()
-	if lost == m.isLost {
+	lost, narrow := m.detector.IsLost(), m.detector.IsNarrow()
+	if lost == m.isLost && narrow == m.isNarrow {
 		m.mu.Unlock()
 		return
 	}
-	c := PathChange{Condition: m.detector.Condition(), SinceContactMs: sinceContact}
-	m.isLost = lost
-	if lost {
+	c := PathChange{Condition: m.detector.Condition(), Narrow: narrow, SinceContactMs: sinceContact}
+	switch {
+	case lost && !m.isLost:
 		m.lostAt = now
 		close(m.lost)
-	} else {
+	case m.isLost && !lost:
 		c.LostMs = now - m.lostAt
 		m.lost = make(chan struct{})
 	}
+	m.isLost, m.isNarrow = lost, narrow
 	m.wakeLocked()
 	m.mu.Unlock()
 	if m.opts.OnChange != nil {
@@ -114,13 +128,13 @@
 }
 
 // dial opens the connection to a leaf and records how that went.
-func (m *PathMonitor) dial(ctx context.Context, pc *pooledConn, address string) error {
+func (m *PathMonitor) dial(ctx context.Context, pc *pooledConn, to samphirepass.Announcement) error {
 	if m == nil {
-		return pc.dial(ctx, address)
+		return pc.dial(ctx, to.Address)
 	}
 	var id uint64
-	m.update(func(d *policy.PathDetector, now samphirepass.Millis) { id = d.BeginDial(now) })
-	err := pc.dial(ctx, address)
+	m.update(func(d *policy.PathDetector, now samphirepass.Millis) { id = d.BeginDial(now, to.Leaf) })
+	err := pc.dial(ctx, to.Address)
 	m.update(func(d *policy.PathDetector, now samphirepass.Millis) {
 		d.End(now, id, pathOutcome(ctx, err, policy.PathConnected))
 	})
@@ -133,7 +147,9 @@
 		return pc.roundTrip(ctx, req, limits)
 	}
 	var id uint64
-	m.update(func(d *policy.PathDetector, now samphirepass.Millis) { id = d.BeginExchange(now, to, expected) })
+	m.update(func(d *policy.PathDetector, now samphirepass.Millis) {
+		id = d.BeginExchange(now, to, !pc.answered, expected)
+	})
 	resp, body, err := pc.roundTrip(ctx, req, limits)
 	m.update(func(d *policy.PathDetector, now samphirepass.Millis) {
 		d.End(now, id, pathOutcome(ctx, err, policy.PathAnswered))
@@ -158,10 +174,9 @@
 	for {
 		m.mu.Lock()
 		now := m.opts.Clock.Now()
-		lost := m.isLost
 		at, ok := m.detector.CheckAt()
-		if lost {
-			at, ok = now+lostRecheckMs, true
+		if recheck := now + lostRecheckMs; m.isLost || (m.isNarrow && (!ok || recheck < at)) {
+			at, ok = recheck, true
 		}
 		m.armedFor = 0
 		if ok {
@@ -191,23 +206,22 @@
 		case late >= pathLatenessMs:
 			d.Excuse(now)
 		default:
-			probe = d.Check(now)
+			probe = d.Check(now) || d.IsNarrow()
 		}
 	})
 	if probe {
-		reached := m.probe(ctx)
+		result := m.probe(ctx)
 		if ctx.Err() == nil {
-			m.update(func(d *policy.PathDetector, now samphirepass.Millis) { d.Probed(now, reached) })
+			m.update(func(d *policy.PathDetector, now samphirepass.Millis) { d.Probed(now, result) })
 		}
 	}
 }
 
-// probe reports whether one of some leaves is reached within PathConfirmMs. On a path that is up or suspected, a sign of life of any other
-// leaf ends it early. Without a leaf to probe nothing is known against the path.
-func (m *PathMonitor) probe(ctx context.Context) bool {
+// probe tries to reach one of some leaves within PathConfirmMs. Without a leaf to probe nothing is known against the path.
+func (m *PathMonitor) probe(ctx context.Context) policy.ProbeResult {
 	leaves := m.leavesToProbe()
 	if len(leaves) == 0 {
-		return true
+		return policy.ProbeReached
 	}
 	m.mu.Lock()
 	condition, began := m.detector.Condition(), m.opts.Clock.Now()
@@ -220,17 +234,20 @@
 	}
 	for range leaves {
 		if <-reached {
-			return true
+			return policy.ProbeReached
 		}
 	}
 	if condition != policy.PathSuspected {
-		return false
+		return policy.ProbeNone
 	}
 	// New connections may be refused at once while open ones still serve.
 	<-ctx.Done()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.detector.ContactSince(began)
+	if m.detector.ContactSince(began) {
+		return policy.ProbeOpenOnly
+	}
+	return policy.ProbeNone
 }
 
 // leavesToProbe returns some serving leaves in random order, among them one of the own data centre if there is any.
@@ -282,5 +299,5 @@
 	m.mu.Lock()
 	contact := m.detector.ContactSince(since)
 	m.mu.Unlock()
-	return contact || m.probe(ctx)
+	return contact || m.probe(ctx) == policy.ProbeReached
 }
--- a/leaf/path_test.go
+++ b/leaf/path_test.go
@@ -184,3 +184,39 @@
 		})
 	}
 }
+
+// TestNarrowPathOpensNoConnections guards against requests that are lost on connections that links refuse while open ones serve.
+func TestNarrowPathOpensNoConnections(t *testing.T) {
+	r := newPathRig(t, 4)
+	r.sendToAll(t.Context())
+	time.Sleep(100 * time.Millisecond)
+	for _, l := range r.links {
+		l.SetDefault(standin.LinkRefused)
+	}
+	send := func(i int) error {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := r.sender.Send(ctx, r.leaves[i], samphirepass.Attempt{Request: "r1", ExpectedMs: 20, ExpiresAtMs: samphirepass.SystemClock{}.Now() + 1000})
+		return err
+	}
+	// The answers of these leaves end their connections.
+	require.Eventually(t, func() bool {
+		for i := range r.leaves {
+			_ = send(i)
+		}
+		return r.monitor.Narrow() || r.lost()
+	}, 2*time.Second, 20*time.Millisecond)
+	before := r.requests.Load()
+	for i := range r.leaves {
+		var failure *samphirepass.AttemptError
+		require.ErrorAs(t, send(i), &failure)
+		if r.monitor.Narrow() {
+			require.Equal(t, samphirepass.FailureNotSent, failure.Kind)
+		}
+	}
+	require.Equal(t, before, r.requests.Load())
+	for _, l := range r.links {
+		l.SetDefault(standin.LinkPass)
+	}
+	require.Eventually(t, func() bool { return !r.monitor.Narrow() && !r.lost() }, time.Second, 10*time.Millisecond)
+}
--- a/leaf/preconnect.go
+++ b/leaf/preconnect.go
@@ -38,6 +38,13 @@
 	return &Preconnector{registry: registry, pool: pool, wanted: wanted, connected: map[samphirepass.Leaf]samphirepass.Incarnation{}}
 }
 
+// Forget makes all leaves count as new: their connections may have broken while none could be opened.
+func (p *Preconnector) Forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.connected)
+}
+
 // Serve connects to new leaves until ctx ends.
 func (p *Preconnector) Serve(ctx context.Context) error {
 	t := time.NewTicker(preconnectIntervalMs.Duration())
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -136,7 +136,7 @@
 		s.pool.noteEnd(to, err)
 		return reply, err
 	}
-	pc.answeredAtMs = s.clock.Now()
+	pc.answeredAtMs, pc.answered = s.clock.Now(), true
 	return reply, nil
 }
 
@@ -151,7 +151,10 @@
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errEvacuated)
 	}
 	if !pc.isOpen() {
-		if err := s.Path.dial(ctx, pc, to.Address); err != nil {
+		if s.Path.Narrow() {
+			return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("send to %s: %w: %w", to.Leaf, errNotConnected, samphirepass.ErrNoPath))
+		}
+		if err := s.Path.dial(ctx, pc, to); err != nil {
 			return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, fmt.Errorf("send to %s: %w: %w", to.Leaf, errNotConnected, err))
 		}
 	}
--- a/policy/path.go
+++ b/policy/path.go
@@ -21,6 +21,8 @@
 	// overloaded some refuse within that time.
 	muteLeaves                     = 3
 	muteMs     samphirepass.Millis = 1000
+	// narrowLeaves is the number of leaves to which dials must have failed since one succeeded before the path is suspected for that.
+	narrowLeaves = 2
 )
 
 // PathCondition says whether a process reaches leaves.
@@ -36,6 +38,18 @@
 	PathMute PathCondition = "mute"
 )
 
+// ProbeResult is what probes of some leaves have shown.
+type ProbeResult string
+
+// Results of probes.
+const (
+	// ProbeReached means that a leaf took a connection, or answered where the path is mute.
+	ProbeReached ProbeResult = "reached"
+	// ProbeOpenOnly means that none did, but leaves answer on open connections.
+	ProbeOpenOnly ProbeResult = "open-only"
+	ProbeNone     ProbeResult = "none"
+)
+
 // PathOutcome is how a dial or an exchange with a leaf ended.
 type PathOutcome string
 
@@ -56,6 +70,8 @@
 // pathWait is a dial or an exchange in progress.
 type pathWait struct {
 	startedAt, patience samphirepass.Millis
+	// dialled is the leaf of a dial or of the first exchange on a connection, empty for others.
+	dialled samphirepass.Leaf
 }
 
 // PathDetector decides from the dials and exchanges of a process whether it reaches leaves. A leaf that is silent says nothing about the
@@ -69,7 +85,11 @@
 	waiting  map[uint64]pathWait
 	lastID   uint64
 	// unanswered holds the leaves that were sent requests since the last answer, with the time of the first one.
-	unanswered  map[samphirepass.Leaf]samphirepass.Millis
+	unanswered map[samphirepass.Leaf]samphirepass.Millis
+	// undialled holds the leaves to which dials, or the first exchanges on connections, have failed since one succeeded.
+	undialled map[samphirepass.Leaf]bool
+	// narrow is set while leaves are reached on open connections only.
+	narrow      bool
 	suspectedAt samphirepass.Millis
 	// trustedUntil is the time until which the path is not suspected.
 	trustedUntil samphirepass.Millis
@@ -86,28 +106,35 @@
 // IsLost reports whether no leaf is reached.
 func (d *PathDetector) IsLost() bool { return d.condition == PathLost || d.condition == PathMute }
 
-// BeginDial records the start of a dial and returns its number for End.
-func (d *PathDetector) BeginDial(now samphirepass.Millis) uint64 {
-	return d.begin(now, ConnectPatienceMs)
+// IsNarrow reports whether leaves are reached on open connections only.
+func (d *PathDetector) IsNarrow() bool { return d.narrow && !d.IsLost() }
+
+// BeginDial records the start of a dial to a leaf and returns its number for End.
+func (d *PathDetector) BeginDial(now samphirepass.Millis, to samphirepass.Leaf) uint64 {
+	return d.begin(pathWait{startedAt: now, patience: ConnectPatienceMs, dialled: to})
 }
 
-// BeginExchange records that a request was sent to a leaf, and returns its number for End.
-func (d *PathDetector) BeginExchange(now samphirepass.Millis, to samphirepass.Leaf, expected samphirepass.Millis) uint64 {
+// BeginExchange records that a request was sent to a leaf, as the first one on its connection or not, and returns its number for End.
+func (d *PathDetector) BeginExchange(now samphirepass.Millis, to samphirepass.Leaf, first bool, expected samphirepass.Millis) uint64 {
 	if d.unanswered == nil {
 		d.unanswered = map[samphirepass.Leaf]samphirepass.Millis{}
 	}
 	if _, ok := d.unanswered[to]; !ok {
 		d.unanswered[to] = now
 	}
-	return d.begin(now, AnswerPatience(expected))
+	w := pathWait{startedAt: now, patience: AnswerPatience(expected)}
+	if first {
+		w.dialled = to
+	}
+	return d.begin(w)
 }
 
-func (d *PathDetector) begin(now, patience samphirepass.Millis) uint64 {
+func (d *PathDetector) begin(w pathWait) uint64 {
 	if d.waiting == nil {
 		d.waiting = map[uint64]pathWait{}
 	}
 	d.lastID++
-	d.waiting[d.lastID] = pathWait{startedAt: now, patience: patience}
+	d.waiting[d.lastID] = w
 	return d.lastID
 }
 
@@ -115,20 +142,33 @@
 func (d *PathDetector) End(now samphirepass.Millis, id uint64, outcome PathOutcome) {
 	w := d.waiting[id]
 	delete(d.waiting, id)
-	if outcome == PathAbandoned && now-max(w.startedAt, d.contactAt) >= w.patience {
+	since := max(w.startedAt, d.contactAt)
+	if w.dialled != "" {
+		since = w.startedAt
+	}
+	if outcome == PathAbandoned && now-since >= w.patience {
 		outcome = PathFailed
 	}
 	switch outcome {
 	case PathAnswered:
 		d.answeredAt, d.contactAt, d.condition = now, now, PathUp
 		clear(d.unanswered)
+		if w.dialled != "" {
+			d.narrow = false
+			clear(d.undialled)
+		}
 	case PathConnected:
+		// Some links reset connections right after they are accepted.
 		d.contactAt = now
-		if d.condition != PathMute {
-			d.condition = PathUp
-		}
 	case PathFailed:
 		d.failedAt = now
+		if w.dialled == "" {
+			return
+		}
+		if d.undialled == nil {
+			d.undialled = map[samphirepass.Leaf]bool{}
+		}
+		d.undialled[w.dialled] = true
 	}
 }
 
@@ -146,6 +186,9 @@
 	if due := d.failedAt + ConnectPatienceMs; d.failedAt > d.contactAt && (!ok || due < at) {
 		at, ok = due, true
 	}
+	if !d.narrow && len(d.undialled) >= narrowLeaves && (!ok || d.failedAt < at) {
+		at, ok = d.failedAt, true
+	}
 	at = max(at, d.trustedUntil)
 	if due, found := d.muteAt(); found && (!ok || due < at) {
 		at, ok = due, true
@@ -196,20 +239,23 @@
 	d.answeredAt = max(d.answeredAt, now)
 }
 
-// Probed records whether one of several leaves that were probed took a connection, or answered where the path is mute. Without a sign of
-// life since the suspicion the path is lost.
-func (d *PathDetector) Probed(now samphirepass.Millis, reached bool) {
+// Probed records what probes of several leaves have shown.
+func (d *PathDetector) Probed(now samphirepass.Millis, result ProbeResult) {
 	switch {
-	case reached:
-		d.contactAt, d.trustedUntil = now, now+suspicionPauseMs
+	case result == ProbeReached:
+		d.contactAt, d.trustedUntil, d.narrow = now, now+suspicionPauseMs, false
+		clear(d.undialled)
 		if d.IsLost() {
 			// Silence before the path was back says nothing any more.
 			d.answeredAt, d.trustedUntil = now, now
 			clear(d.unanswered)
 		}
 		d.condition = PathUp
+	case d.IsLost():
+	case result == ProbeOpenOnly:
+		d.condition, d.narrow = PathUp, true
 	case d.condition == PathSuspected:
-		d.condition = PathLost
+		d.condition, d.narrow = PathLost, false
 	}
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -39,6 +39,8 @@
 	return p
 }
 
+func (p *fixedPath) Narrow() bool { return false }
+
 func (p *fixedPath) Lost() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -20,6 +20,8 @@
 	LinkPass Link = "pass"
 	// LinkCut closes open connections, and new ones as soon as they are accepted.
 	LinkCut Link = "cut"
+	// LinkRefused closes new connections as soon as they are accepted. Open ones live on.
+	LinkRefused Link = "refused"
 	// LinkSilent drops all data, but keeps connections open and accepts new ones.
 	LinkSilent Link = "silent"
 	// LinkHeld keeps all data until the link changes, as if the target had frozen.
@@ -191,7 +193,7 @@
 	c := &relayedConn{from: from, inbound: inbound, deaf: map[Direction]bool{}}
 	defer c.close()
 	r.mu.Lock()
-	cut := r.link(from) == LinkCut
+	cut := r.link(from) == LinkCut || r.link(from) == LinkRefused
 	r.mu.Unlock()
 	if cut {
 		return
