--- a/leaf/path_test.go
+++ b/leaf/path_test.go
@@ -14,6 +14,7 @@
 
 	"samphirepass"
 	"samphirepass/leaf"
+	"samphirepass/policy"
 	"samphirepass/standin"
 )
 
@@ -24,7 +25,7 @@
 	monitor *leaf.PathMonitor
 	sender  *leaf.Sender
 	// connections counts those that the leaves have accepted.
-	requests, connections, changes atomic.Int64
+	requests, connections, losses atomic.Int64
 }
 
 func newPathRig(t *testing.T, leaves int) *pathRig {
@@ -54,7 +55,11 @@
 		registry.Apply(a, 0, true)
 		r.links, r.leaves = append(r.links, link), append(r.leaves, a)
 	}
-	r.monitor = leaf.NewPathMonitor(leaf.PathMonitorOptions{Registry: registry, Pool: pool, Protocol: leaf.Native{}, DataCentre: "derby", Clock: clock, OnChange: func(leaf.PathChange) { r.changes.Add(1) }})
+	r.monitor = leaf.NewPathMonitor(leaf.PathMonitorOptions{Registry: registry, Pool: pool, Protocol: leaf.Native{}, DataCentre: "derby", Clock: clock, OnChange: func(c leaf.PathChange) {
+		if c.Condition == policy.PathLost || c.Condition == policy.PathMute {
+			r.losses.Add(1)
+		}
+	}})
 	r.sender = leaf.NewSender(pool, leaf.Native{}, clock)
 	r.sender.Path = r.monitor
 	ctx, cancel := context.WithCancel(context.Background())
@@ -107,7 +112,7 @@
 				l.SetDefault(standin.LinkPass)
 			}
 			require.Eventually(t, func() bool { return !r.lost() }, time.Second, 10*time.Millisecond)
-			require.Equal(t, int64(2), r.changes.Load())
+			require.Equal(t, int64(1), r.losses.Load(), "the path is lost once")
 		})
 	}
 }
