leaf: An answer with a status outside 200 to 599 is no answer

A client whose leaf answered with status 000, signed, got no answer at all: the connection ended (1 of 1, EOF). With 101, 600 or 999 it got these bytes as an answer. Cause: net/http takes any three digits as a status, and so did we; the server side panics at those below 100. The class is bytes that are no answer, which end the connection to the leaf and fail the attempt. RFC 9110, section 15: a status outside 100 to 599 is invalid; 101 answers only a request that asks for another protocol, and none does.

TestProofInvalidStatusIsNoAnswer sends seven such status lines through real processes. All seven failed before (0, 101, 600 or 999 in place of 502); now the client gets 502, and a gathered answer lacks the shard (1.1 s, passes).

--- a/leaf/answer.go
+++ b/leaf/answer.go
@@ -24,9 +24,17 @@
 	framingDivisor  = 8
 )
 
+// The statuses of final answers (RFC 9110, section 15). No request asks for another protocol, so 101 is none of them.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
 var (
 	// errTooLong means that an answer was longer than its limits.
 	errTooLong = eris.New("answer exceeds its limits")
+	// errInvalidStatus means that what a leaf sent is no answer: its status is none of a final answer in HTTP.
+	errInvalidStatus = eris.New("invalid status")
 	// errGaveWay means that the memory of an answer was needed for shorter ones.
 	errGaveWay = eris.New("answer gave way to shorter ones")
 )
@@ -69,6 +77,9 @@
 		if resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		if resp.StatusCode < minFinalStatus || resp.StatusCode > maxFinalStatus {
+			return nil, nil, fmt.Errorf("%w %q", errInvalidStatus, resp.Status)
+		}
 		pc.bounded.remaining = limits.body + limits.body/framingDivisor + maxFramingBytes
 		pc.bounded.read = 0
 		body, err := pc.readBody(resp, limits)
