leaf: Attempts that waited for a connection heed a pause that began meanwhile

A leaf that had asked for a pause got requests in it, one after the other: 4 later than half a second after its answer, 2 are allowed. Cause: a leaf's pause is looked at when the leaf is chosen, and not again before the first byte, while an attempt may have waited for a connection since. The class is a decision on what was true when the wait began; evacuations and warm-up limits were looked at again already.

Such an attempt now counts as not sent: it goes to another leaf without budget, or the client is refused with the rest of the pause as Retry-After.

--- a/leaf/attempts.go
+++ b/leaf/attempts.go
@@ -172,6 +172,9 @@
 func (f *fanOut) handleFailure(r attemptResult) {
 	f.lastErr, f.lastLeaf = r.err, r.leaf
 	f.unreached = f.unreached || errors.Is(r.err, errNotConnected)
+	if errors.Is(r.err, errPaused) {
+		f.retryAfter = max(f.retryAfter, f.pool.minWaitMs(f.leaves[r.shard]))
+	}
 	budget := f.budgets[r.shard]
 	takeBudget := budget.TakeRetry
 	var failure *samphirepass.AttemptError
--- a/leaf/limits.go
+++ b/leaf/limits.go
@@ -53,6 +53,13 @@
 	return max(t.pausedUntil-now, 0)
 }
 
+// pauseMs is pauseLocked for a caller without the lock.
+func (t *target) pauseMs(now samphirepass.Millis, incarnation samphirepass.Incarnation) samphirepass.Millis {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pauseLocked(now, incarnation)
+}
+
 // minWaitMs returns the time until one of the leaves takes a request, 0 if one does now or there is none.
 func (p *Pool) minWaitMs(leaves []Registration) samphirepass.Millis {
 	shortest := samphirepass.Millis(0)
--- a/leaf/sender.go
+++ b/leaf/sender.go
@@ -26,6 +26,8 @@
 	errExpired = eris.New("the deadline passed before the request was sent")
 	// errNotConnected means that no connection to a leaf could be opened.
 	errNotConnected = eris.New("not connected")
+	// errPaused means that the leaf has asked for a pause since it was chosen.
+	errPaused = eris.New("the leaf has asked for a pause")
 	// errWithdrawn means that the answer to an attempt was no longer needed before it could be sent.
 	errWithdrawn = eris.New("the answer is no longer needed")
 )
@@ -72,7 +74,7 @@
 }
 
 // record updates the measurements of the leaf. An attempt that ended since no leaf is reached counts for nothing. One does not count as a
-// failure of the leaf if the leaf shed it, if its data centre is evacuated, if another leaf answers at the address, if it was cancelled other than by ErrSuperseded, or if ctx ended before it was sent.
+// failure of the leaf if the leaf shed it or has asked for a pause, if its data centre is evacuated, if another leaf answers at the address, if it was cancelled other than by ErrSuperseded, or if ctx ended before it was sent.
 func (s *Sender) record(ctx context.Context, t *target, att inFlightAttempt, reply samphirepass.Reply, err error) {
 	if errors.Is(context.Cause(ctx), samphirepass.ErrNoPath) {
 		return
@@ -89,7 +91,7 @@
 		t.recordSuccess(now, took, att.expected, reply)
 	case kind == samphirepass.FailureShed:
 		t.recordShed(now, reply)
-	case kind == samphirepass.FailureGone, errors.Is(err, errEvacuated), errors.Is(err, errTurnedCold):
+	case kind == samphirepass.FailureGone, errors.Is(err, errEvacuated), errors.Is(err, errTurnedCold), errors.Is(err, errPaused):
 	case errors.Is(err, errWithdrawn), errors.Is(err, errCrowded):
 		t.recordMinLatency(now, took, att.expected)
 	case errors.Is(context.Cause(ctx), samphirepass.ErrSuperseded):
@@ -122,7 +124,7 @@
 		reply, err = s.exchange(ctx, t, pc, to, a)
 	}
 	reply.WaitedMs = sent - began
-	if errors.Is(err, errExpired) || errors.Is(err, errWithdrawn) || errors.Is(err, errTurnedCold) || errors.Is(err, errEvacuated) {
+	if errors.Is(err, errExpired) || errors.Is(err, errWithdrawn) || errors.Is(err, errTurnedCold) || errors.Is(err, errEvacuated) || errors.Is(err, errPaused) {
 		return reply, err
 	}
 	if err != nil {
@@ -182,6 +184,8 @@
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errExpired)
 	case s.pool.evacuations.isEvacuated(to.DataCentre):
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errEvacuated)
+	case t.pauseMs(s.clock.Now(), to.Incarnation) > 0:
+		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errPaused)
 	case a.Permit != nil && !a.Permit.Use():
 		return samphirepass.Reply{}, attemptError(samphirepass.FailureNotSent, errWithdrawn)
 	}
