leaf: A pause outlives the registration of its leaf

A leaf that has asked for a pause and whose heartbeats are late for some seconds is forgotten, and its pause with it: the same incarnation gets requests as soon as it is announced again. The target is now kept until the pause ends. TestPauseOutlivesTheRegistration failed before (0 in place of 3000 ms left) and passes.

--- a/leaf/limits.go
+++ b/leaf/limits.go
@@ -60,6 +60,13 @@
 	return t.pauseLocked(now, incarnation)
 }
 
+// isPaused reports whether an incarnation of the leaf wants no requests.
+func (t *target) isPaused(now samphirepass.Millis) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pausedUntil > now
+}
+
 // minWaitMs returns the time until one of the leaves takes a request, 0 if one does now or there is none.
 func (p *Pool) minWaitMs(leaves []Registration) samphirepass.Millis {
 	shortest := samphirepass.Millis(0)
--- a/leaf/pool.go
+++ b/leaf/pool.go
@@ -170,7 +170,7 @@
 	return t.conns.maxConns > 0
 }
 
-// Refresh updates the connection limits of the known leaves and drops all others.
+// Refresh updates the connection limits of the known leaves and drops all others, but for those that have asked for a pause.
 func (p *Pool) Refresh(known []Registration) {
 	present := make(map[samphirepass.Leaf]bool, len(known))
 	for _, reg := range known {
@@ -179,11 +179,19 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.clock.Now()
 	for name, t := range p.targets {
-		if !present[name] {
-			t.conns.setMaxConns(0)
+		if present[name] {
+			continue
+		}
+		t.conns.setMaxConns(0)
+		// The heartbeats of a leaf that wants no requests may only be late.
+		if !t.isPaused(now) {
 			delete(p.targets, name)
+			continue
 		}
+		// If it comes back, its share is worked out anew.
+		t.sharesVersion.Add(1)
 	}
 }
 
--- a/leaf/pool_test.go
+++ b/leaf/pool_test.go
@@ -108,3 +108,23 @@
 	clock.now += 3 * failureRateDecayMs
 	require.Equal(t, 0, choose(), "old failures decay")
 }
+
+// TestPauseOutlivesTheRegistration guards against requests in a pause that a leaf has asked for, as its heartbeats were late meanwhile and
+// it was forgotten, and against targets that are kept for good.
+func TestPauseOutlivesTheRegistration(t *testing.T) {
+	clock := &manualClock{now: 1000}
+	pool := NewPool(clock, fixedShares{})
+	a := samphirepass.Announcement{Leaf: "near", Address: "10.0.0.1:1", DataCentre: "derby", Slots: 3, Incarnation: 1}
+	reg := Registration{Announcement: a}
+	pool.pause(a, 5000)
+	pool.Refresh(nil)
+	clock.now += 2000
+	require.Equal(t, samphirepass.Millis(3000), pool.waitMs(reg))
+	require.True(t, pool.mayConnect(a))
+	restarted := reg
+	restarted.Incarnation = 2
+	require.Zero(t, pool.waitMs(restarted), "another incarnation has not asked for it")
+	clock.now += 3000
+	pool.Refresh(nil)
+	require.Empty(t, pool.targets)
+}
