leaf: No ping to leaves that want no requests

A gateway whose path is mute pings three leaves each 200 ms. Those that have asked for a pause, or have reached a limit, are left out: a ping is a request, though no leaf runs it.

--- a/leaf/path.go
+++ b/leaf/path.go
@@ -219,13 +219,13 @@
 
 // probe tries to reach one of some leaves within PathConfirmMs. Without a leaf to probe nothing is known against the path.
 func (m *PathMonitor) probe(ctx context.Context) policy.ProbeResult {
-	leaves := m.leavesToProbe()
-	if len(leaves) == 0 {
-		return policy.ProbeReached
-	}
 	m.mu.Lock()
 	condition, began := m.detector.Condition(), m.opts.Clock.Now()
 	m.mu.Unlock()
+	leaves := m.leavesToProbe(condition == policy.PathMute)
+	if len(leaves) == 0 {
+		return policy.ProbeReached
+	}
 	ctx, cancel := context.WithTimeout(ctx, policy.PathConfirmMs.Duration())
 	defer cancel()
 	reached := make(chan bool, len(leaves))
@@ -250,11 +250,12 @@
 	return policy.ProbeNone
 }
 
-// leavesToProbe returns some serving leaves in random order, among them one of the own data centre if there is any.
-func (m *PathMonitor) leavesToProbe() []Registration {
+// leavesToProbe returns some serving leaves in random order, among them one of the own data centre if there is any. A ping is a request,
+// which only goes to leaves that take one now.
+func (m *PathMonitor) leavesToProbe(ping bool) []Registration {
 	var own, all []Registration
 	for _, reg := range m.opts.Registry.All() {
-		if reg.State != samphirepass.LeafServing || m.opts.Registry.Evacuated(reg.DataCentre) {
+		if reg.State != samphirepass.LeafServing || m.opts.Registry.Evacuated(reg.DataCentre) || (ping && m.opts.Pool.waitMs(reg) > 0) {
 			continue
 		}
 		all = append(all, reg)
