--- a/leaf/path.go
+++ b/leaf/path.go
@@ -20,6 +20,8 @@
 	pathProbes = 3
 	// lostRecheckMs is the interval between probes while the path is lost.
 	lostRecheckMs samphirepass.Millis = 200
+	// probeStaggerMs is the time for which the first probe is alone: mostly the path is up, and one connection is enough.
+	probeStaggerMs samphirepass.Millis = 20
 	// probeHoldMs is how long a probed connection must stay open: some links reset connections right after they are accepted.
 	probeHoldMs samphirepass.Millis = 10
 	// pathLatenessMs is the lateness of a timer from which this process may not have read what leaves sent.
@@ -229,8 +231,16 @@
 	ctx, cancel := context.WithTimeout(ctx, policy.PathConfirmMs.Duration())
 	defer cancel()
 	reached := make(chan bool, len(leaves))
-	for _, reg := range leaves {
-		go func() { reached <- m.reaches(ctx, reg, condition == policy.PathMute) }()
+	for i, reg := range leaves {
+		go func() {
+			if i > 0 {
+				select {
+				case <-time.After(probeStaggerMs.Duration()):
+				case <-ctx.Done():
+				}
+			}
+			reached <- ctx.Err() == nil && m.reaches(ctx, reg, condition == policy.PathMute)
+		}()
 	}
 	for range leaves {
 		if <-reached {
--- a/policy/path.go
+++ b/policy/path.go
@@ -13,6 +13,8 @@
 	answerPatienceFactor                     = 3
 	minAnswerPatienceMs  samphirepass.Millis = 100
 	maxAnswerPatienceMs  samphirepass.Millis = 500
+	// singlePatienceMs is the least time after which a single leaf makes the path suspect: leaves pause for some 200 ms each at its own time.
+	singlePatienceMs samphirepass.Millis = 300
 	// PathConfirmMs is the time within which no leaf may show a sign of life before a suspected path counts as lost.
 	PathConfirmMs samphirepass.Millis = 200
 	// suspicionPauseMs is the time between a suspicion that was unfounded and the next one: a single leaf may stay silent for long.
@@ -67,11 +69,12 @@
 	return min(max(answerPatienceFactor*expected, minAnswerPatienceMs), maxAnswerPatienceMs)
 }
 
-// pathWait is a dial or an exchange in progress.
+// pathWait is a dial or an exchange with a leaf in progress.
 type pathWait struct {
 	startedAt, patience samphirepass.Millis
-	// dialled is the leaf of a dial or of the first exchange on a connection, empty for others.
-	dialled samphirepass.Leaf
+	leaf                samphirepass.Leaf
+	// isDial is set for a dial and for the first exchange on a connection.
+	isDial bool
 }
 
 // PathDetector decides from the dials and exchanges of a process whether it reaches leaves. A leaf that is silent says nothing about the
@@ -111,7 +114,7 @@
 
 // BeginDial records the start of a dial to a leaf and returns its number for End.
 func (d *PathDetector) BeginDial(now samphirepass.Millis, to samphirepass.Leaf) uint64 {
-	return d.begin(pathWait{startedAt: now, patience: ConnectPatienceMs, dialled: to})
+	return d.begin(pathWait{startedAt: now, patience: ConnectPatienceMs, leaf: to, isDial: true})
 }
 
 // BeginExchange records that a request was sent to a leaf, as the first one on its connection or not, and returns its number for End.
@@ -122,11 +125,7 @@
 	if _, ok := d.unanswered[to]; !ok {
 		d.unanswered[to] = now
 	}
-	w := pathWait{startedAt: now, patience: AnswerPatience(expected)}
-	if first {
-		w.dialled = to
-	}
-	return d.begin(w)
+	return d.begin(pathWait{startedAt: now, patience: AnswerPatience(expected), leaf: to, isDial: first})
 }
 
 func (d *PathDetector) begin(w pathWait) uint64 {
@@ -143,7 +142,7 @@
 	w := d.waiting[id]
 	delete(d.waiting, id)
 	since := max(w.startedAt, d.contactAt)
-	if w.dialled != "" {
+	if w.isDial {
 		since = w.startedAt
 	}
 	if outcome == PathAbandoned && now-since >= w.patience {
@@ -153,7 +152,7 @@
 	case PathAnswered:
 		d.answeredAt, d.contactAt, d.condition = now, now, PathUp
 		clear(d.unanswered)
-		if w.dialled != "" {
+		if w.isDial {
 			d.narrow = false
 			clear(d.undialled)
 		}
@@ -162,13 +161,13 @@
 		d.contactAt = now
 	case PathFailed:
 		d.failedAt = now
-		if w.dialled == "" {
+		if !w.isDial {
 			return
 		}
 		if d.undialled == nil {
 			d.undialled = map[samphirepass.Leaf]bool{}
 		}
-		d.undialled[w.dialled] = true
+		d.undialled[w.leaf] = true
 	}
 }
 
@@ -177,13 +176,8 @@
 	if d.Condition() != PathUp {
 		return 0, false
 	}
-	at, ok := samphirepass.Millis(0), false
-	for w := range maps.Values(d.waiting) {
-		if due := max(w.startedAt, d.contactAt) + w.patience; !ok || due < at {
-			at, ok = due, true
-		}
-	}
-	if due := d.failedAt + ConnectPatienceMs; d.failedAt > d.contactAt && (!ok || due < at) {
+	at, ok := d.overdueAt()
+	if due := d.failedAt + singlePatienceMs; d.failedAt > d.contactAt && (!ok || due < at) {
 		at, ok = due, true
 	}
 	if !d.narrow && len(d.undialled) >= narrowLeaves && (!ok || d.failedAt < at) {
@@ -196,6 +190,34 @@
 	return at, ok
 }
 
+// overdueAt returns the next time at which two leaves are overdue, or a single one for longer, and false if nothing is in progress.
+func (d *PathDetector) overdueAt() (samphirepass.Millis, bool) {
+	var first, second, single samphirepass.Millis
+	var leaf samphirepass.Leaf
+	n := 0
+	for w := range maps.Values(d.waiting) {
+		since := max(w.startedAt, d.contactAt)
+		due, alone := since+w.patience, since+max(w.patience, singlePatienceMs)
+		if n == 0 || alone < single {
+			single = alone
+		}
+		switch {
+		case n == 0:
+			first, leaf, n = due, w.leaf, 1
+		case w.leaf == leaf:
+			first = min(first, due)
+		case due < first:
+			first, second, leaf, n = due, first, w.leaf, 2
+		case n == 1 || due < second:
+			second, n = due, 2
+		}
+	}
+	if n == 2 {
+		return min(single, second), true
+	}
+	return single, n == 1
+}
+
 // muteAt returns the time at which the path is lost as no leaf answers, and false while too few were asked.
 func (d *PathDetector) muteAt() (samphirepass.Millis, bool) {
 	if len(d.unanswered) < muteLeaves {
