leaf, platform: Forward the target of a request byte for byte

The class: what was forwarded was rebuilt from a parsed form. A protocol can now give the target as it is (RequestURI), which replaces the request line; a character that would end the line fails the attempt. Targets that net/url leaves alone are written as before.

--- a/client.go
+++ b/client.go
@@ -69,7 +69,7 @@
 // LeafProtocol encodes requests to the leaves of one platform and checks their replies; it is safe for concurrent use.
 type LeafProtocol interface {
 	// Request returns the HTTP request of one attempt; remaining is the time budget of the leaf.
-	// The body must not be readable twice, so that the HTTP client cannot resend it.
+	// The body must not be readable twice, so that the HTTP client cannot resend it. RequestURI, if it is set, is sent as the target.
 	Request(ctx context.Context, to Announcement, a Attempt, remaining Millis) (*http.Request, error)
 	// Reply checks the complete answer to an attempt; its errors are of type *AttemptError.
 	Reply(resp *http.Response, body []byte, a Attempt) (Reply, error)
--- a/leaf/conn.go
+++ b/leaf/conn.go
@@ -6,9 +6,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"syscall"
 	"time"
 
@@ -158,7 +160,7 @@
 	done := make(chan bool, 1)
 	if req.ContentLength >= 0 && req.ContentLength <= maxSyncWriteBytes {
 		var b bytes.Buffer
-		err := req.Write(&b)
+		err := writeRequest(&b, req)
 		if err != nil {
 			done <- false
 			return done, fmt.Errorf("%w: encode request: %w", errNotWritten, err)
@@ -184,11 +186,51 @@
 	conn := pc.conn
 	go func() {
 		// After a failed write, the answer or the lack of one determines the outcome.
-		done <- req.Write(conn) == nil
+		done <- writeRequest(conn, req) == nil
 	}()
 	return done, nil
 }
 
+// writeRequest writes a request with RequestURI as its target, if that is set: net/http would encode anew what net/url takes for invalid.
+func writeRequest(w io.Writer, req *http.Request) error {
+	if req.RequestURI == "" || req.RequestURI == req.URL.RequestURI() {
+		if err := req.Write(w); err != nil {
+			return fmt.Errorf("write request: %w", err)
+		}
+		return nil
+	}
+	if strings.ContainsFunc(req.RequestURI, func(c rune) bool { return c <= ' ' || c == 0x7f }) {
+		return eris.Errorf("request target %q has a character that ends it", req.RequestURI)
+	}
+	if err := req.Write(&requestLineWriter{w: w, line: req.Method + " " + req.RequestURI + " HTTP/1.1\r\n"}); err != nil {
+		return fmt.Errorf("write request: %w", err)
+	}
+	return nil
+}
+
+// requestLineWriter replaces the first line that is written to it.
+type requestLineWriter struct {
+	w    io.Writer
+	line string
+	// replaced is set once the line has been written.
+	replaced bool
+}
+
+func (l *requestLineWriter) Write(p []byte) (int, error) {
+	if l.replaced {
+		return l.w.Write(p)
+	}
+	end := bytes.IndexByte(p, '\n')
+	if end < 0 {
+		return len(p), nil
+	}
+	l.replaced = true
+	if _, err := l.w.Write(append([]byte(l.line), p[end+1:]...)); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
 // checkWrite calls beforeWrite.
 func (pc *pooledConn) checkWrite() error {
 	if pc.beforeWrite == nil {
