leaf: A leaf that gave up at its deadline has not survived a request

Cause: any failure that a leaf answered counted as survival. After a 504 nobody knows what the request would have come to.

--- a/leaf/crashes.go
+++ b/leaf/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 
 	"samphirepass"
 )
@@ -16,7 +17,7 @@
 func (f *fanOut) noteOutcome(r attemptResult) {
 	var failure *samphirepass.AttemptError
 	switch {
-	case r.err == nil, errors.As(r.err, &failure) && failure.Kind == samphirepass.FailureAnswered:
+	case r.err == nil, errors.As(r.err, &failure) && failure.Kind == samphirepass.FailureAnswered && !gaveUp(failure.Reply):
 		f.noteSurvival()
 	case failure != nil && failure.Kind == samphirepass.FailureCrashed:
 		f.crashes = append(f.crashes, samphirepass.LeafCrash{Leaf: r.leaf, Incarnation: r.incarnation, Alone: f.alone})
@@ -28,6 +29,11 @@
 	f.alone = false
 }
 
+// gaveUp reports whether the leaf stopped work on the request at its deadline: nobody knows what it would have come to.
+func gaveUp(r samphirepass.Reply) bool {
+	return r.Answer != nil && r.Answer.Status == http.StatusGatewayTimeout
+}
+
 // noteSurvival starts the attempts that were held.
 func (f *fanOut) noteSurvival() {
 	if f.survived {
--- a/leaf/crashes_test.go
+++ b/leaf/crashes_test.go
@@ -100,3 +100,17 @@
 		})
 	}
 }
+
+// TestProofGivenUpRequestHasNotSurvived guards against a request that crashes leaves and is taken for harmless, as a slow leaf stopped work on it
+// at its deadline.
+func TestProofGivenUpRequestHasNotSurvived(t *testing.T) {
+	for status, survived := range map[int]bool{504: false, 500: true, 404: true} {
+		s := &scriptedSender{answer: func(_ context.Context, _ samphirepass.Leaf, n int, _ samphirepass.Attempt) (samphirepass.Reply, error) {
+			reply := samphirepass.Reply{Answer: &samphirepass.LeafAnswer{Status: status}}
+			return samphirepass.Reply{}, &samphirepass.AttemptError{Kind: samphirepass.FailureAnswered, Err: context.DeadlineExceeded, Reply: reply}
+		}}
+		d, _ := newDeliverer(s, &fixedBudget{remaining: 10})
+		result, _ := deliver(d, newDelivery(testRoute))
+		require.Equal(t, survived, result.Survived, "status %d", status)
+	}
+}
