--- a/leaf/crashes_test.go
+++ b/leaf/crashes_test.go
@@ -105,7 +105,7 @@
 // at its deadline.
 func TestProofGivenUpRequestHasNotSurvived(t *testing.T) {
 	for status, survived := range map[int]bool{504: false, 500: true, 404: true} {
-		s := &scriptedSender{answer: func(_ context.Context, _ samphirepass.Leaf, n int, _ samphirepass.Attempt) (samphirepass.Reply, error) {
+		s := &scriptedSender{answer: func(_ context.Context, _ samphirepass.Leaf, _ int, _ samphirepass.Attempt) (samphirepass.Reply, error) {
 			reply := samphirepass.Reply{Answer: &samphirepass.LeafAnswer{Status: status}}
 			return samphirepass.Reply{}, &samphirepass.AttemptError{Kind: samphirepass.FailureAnswered, Err: context.DeadlineExceeded, Reply: reply}
 		}}
--- a/relay/client.go
+++ b/relay/client.go
@@ -154,7 +154,7 @@
 	notSent := errors.Is(err, peer.ErrNotSent) || (refusal != nil && refusal.NotRun) || (err == nil && reply.NoPath && !reply.MaybeRun && reply.Answered == 0)
 	now := c.opts.Clock.Now()
 	c.mu.Lock()
-	// A refusal for load and a client that has gone say nothing about the gateway's path.
+	// A client that has gone says nothing about the gateway.
 	c.relays.End(now, address, (notSent || err != nil) && ctx.Err() == nil)
 	c.mu.Unlock()
 	if err != nil {
